--- /dev/null
+++ b/core/src/main/kotlin/org/guavapath/core/fleet/FleetConfiguration.kt
@@ -0,0 +1,193 @@
+/**
+ * The configuration that the platform's operator writes as one document: routes by host and path,
+ * services, workspaces with their keys and limits. It is immutable; a newer version replaces it whole.
+ */
+package org.guavapath.core.fleet
+
+import org.guavapath.core.identity.FailureDomainName
+import org.guavapath.core.identity.KeyHash
+import org.guavapath.core.identity.ModelName
+import org.guavapath.core.identity.WorkspaceName
+import kotlin.time.Duration
+
+/**
+ * Version of the fleet's configuration. Versions rise in uneven steps.
+ *
+ * @property number the version number
+ */
+@JvmInline
+public value class FleetVersion(public val number: Long) : Comparable<FleetVersion> {
+    override fun compareTo(other: FleetVersion): Int = number.compareTo(other.number)
+
+    override fun toString(): String = number.toString()
+}
+
+/**
+ * Name of a service, a group of replicas that do the same work.
+ *
+ * @property text its text
+ */
+@JvmInline
+public value class ServiceName(public val text: String) {
+    override fun toString(): String = text
+}
+
+/** What may be repeated when a request's outcome is unknown. */
+public sealed class Repeatability {
+    /** The request may run more than once. */
+    public data object Idempotent : Repeatability()
+
+    /** The request may run at most once. */
+    public data object Once : Repeatability()
+
+    /**
+     * The answer is a stream of events.
+     *
+     * @property isResumable whether another replica may go on after the last event that was relayed
+     * @property longestGap longest pause between two events with which the answer is on time
+     */
+    public data class Stream(public val isResumable: Boolean, public val longestGap: Duration) : Repeatability()
+
+    /** Whether a request may be sent again although it may have run. */
+    public val mayRunAgain: Boolean
+        get() = when (this) {
+            Idempotent -> true
+            Once -> false
+            is Stream -> isResumable
+        }
+}
+
+/**
+ * A service that a route leads to.
+ *
+ * @property service the service
+ * @property weight its part of the route's requests, relative to the other services of the route
+ */
+public data class RouteTarget(public val service: ServiceName, public val weight: Int)
+
+/**
+ * A route: requests to [host] whose path begins with [pathPrefix] go to one of [targets].
+ *
+ * @property name its name
+ * @property timeout longest time that a caller is kept waiting
+ * @property targetLatency time within which an answer is worth most to the caller
+ * @property priority rank among routes, 0 first
+ * @property replicaLimit most replicas that may run one request
+ * @property isOpen whether callers need no key
+ * @property carriesPrompt whether requests name a model and the parts of their prompt
+ */
+public data class FleetRoute(
+    public val name: String,
+    public val host: String,
+    public val pathPrefix: String,
+    public val repeatability: Repeatability,
+    public val timeout: Duration,
+    public val targetLatency: Duration,
+    public val priority: Int,
+    public val targets: List<RouteTarget>,
+    public val replicaLimit: Int,
+    public val isOpen: Boolean,
+    public val carriesPrompt: Boolean,
+)
+
+/**
+ * The engine that runs on each replica of a model service.
+ *
+ * @property slots requests that run at once
+ * @property cacheTokens tokens that fit into the memory of one replica
+ * @property models the models that it serves
+ */
+public data class EngineCapacity(
+    public val slots: Int,
+    public val cacheTokens: Long,
+    public val models: List<ModelName>,
+)
+
+/**
+ * A store of cached prompt parts that replicas save to and fetch from.
+ *
+ * @property address host and port
+ * @property failureDomain where it runs
+ */
+public data class CacheStore(public val address: String, public val failureDomain: FailureDomainName)
+
+/**
+ * A service.
+ *
+ * @property name its name
+ * @property connectionLimit connections that one replica accepts from all callers
+ * @property engine the engine of a model service, null for plain services
+ * @property cacheStore set if the service is a store of cached prompt parts
+ */
+public data class FleetService(
+    public val name: ServiceName,
+    public val connectionLimit: Int,
+    public val engine: EngineCapacity?,
+    public val cacheStore: CacheStore?,
+)
+
+/**
+ * A workspace with its keys and its fleet-wide limit.
+ *
+ * @property name its name
+ * @property keys hashes of the keys in force
+ * @property priority rank that goes before the route's, null if the route's counts
+ * @property isIsolated whether no cached prompt part may be shared with another workspace
+ * @property countsTokens whether the limit counts tokens; otherwise it counts requests
+ * @property plainTokens cost of a request without token counts
+ * @property ratePerSecond tokens or requests a second, 0 for no limit
+ * @property burst tokens or requests that may be used at once after a rest
+ */
+public data class FleetWorkspace(
+    public val name: WorkspaceName,
+    public val keys: Set<KeyHash>,
+    public val priority: Int?,
+    public val isIsolated: Boolean,
+    public val countsTokens: Boolean,
+    public val plainTokens: Long,
+    public val ratePerSecond: Long,
+    public val burst: Long,
+)
+
+/**
+ * Limits on callers.
+ *
+ * @property headerBytes largest request head
+ * @property bodyBytes largest request body
+ * @property headerTimeout longest time until a request's head has arrived
+ * @property idleTimeout longest rest of a connection between two requests
+ */
+public data class CallerLimits(
+    public val headerBytes: Int,
+    public val bodyBytes: Int,
+    public val headerTimeout: Duration,
+    public val idleTimeout: Duration,
+)
+
+/**
+ * One version of the fleet's configuration.
+ *
+ * @property version its version
+ * @property routes all routes
+ * @property services all services by name
+ * @property workspaces all workspaces; null if callers need no keys at all
+ * @property callerLimits limits on callers
+ */
+public class FleetConfiguration(
+    public val version: FleetVersion,
+    public val routes: List<FleetRoute>,
+    public val services: Map<ServiceName, FleetService>,
+    public val workspaces: List<FleetWorkspace>?,
+    public val callerLimits: CallerLimits,
+) {
+    private val routesByHost = routes.groupBy { it.host.lowercase() }
+        .mapValues { (_, group) -> group.sortedByDescending { it.pathPrefix.length } }
+    private val workspaceByKey = workspaces.orEmpty().flatMap { workspace -> workspace.keys.map { it to workspace } }.toMap()
+
+    /** Returns the route with the longest prefix that begins [path] on [host], null if none matches. */
+    public fun route(host: String, path: String): FleetRoute? =
+        routesByHost[host.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
+
+    /** Returns the workspace that holds the key with [hash], null if the key is not in force. */
+    public fun workspace(hash: KeyHash): FleetWorkspace? = workspaceByKey[hash]
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/guavapath/core/fleet/Replica.kt
@@ -0,0 +1,55 @@
+/** Replicas of services as the platform lists them. */
+package org.guavapath.core.fleet
+
+import org.guavapath.core.identity.FailureDomainName
+import org.guavapath.core.identity.ModelName
+import kotlin.time.Duration
+
+/**
+ * Identity of one replica. Mostly new at each start of the replica.
+ *
+ * @property text its text
+ */
+@JvmInline
+public value class ReplicaId(public val text: String) : Comparable<ReplicaId> {
+    override fun compareTo(other: ReplicaId): Int = text.compareTo(other.text)
+
+    override fun toString(): String = text
+}
+
+/**
+ * Number of a model's weights; a later number replaces an earlier one.
+ *
+ * @property number the number, from 1
+ */
+@JvmInline
+public value class WeightsNumber(public val number: Long) : Comparable<WeightsNumber> {
+    override fun compareTo(other: WeightsNumber): Int = number.compareTo(other.number)
+
+    override fun toString(): String = number.toString()
+}
+
+/**
+ * A replica as listed.
+ *
+ * @property id its identity
+ * @property bornAt start of this incarnation in Unix milliseconds, 0 if the list does not say
+ * @property service the service that it belongs to
+ * @property address host and port
+ * @property failureDomain where it runs
+ * @property slots requests that it runs at once
+ * @property isDraining whether it takes no new requests
+ * @property warmUpLeft how much longer it stays slow after its start
+ * @property weights weights in its memory by model
+ */
+public data class Replica(
+    public val id: ReplicaId,
+    public val bornAt: Long,
+    public val service: ServiceName,
+    public val address: String,
+    public val failureDomain: FailureDomainName,
+    public val slots: Int,
+    public val isDraining: Boolean,
+    public val warmUpLeft: Duration,
+    public val weights: Map<ModelName, WeightsNumber>,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -0,0 +1,191 @@
+/**
+ * Choice of the replica that serves a request.
+ *
+ * The cost of a replica is the expected time until the first event: the prompts that wait there, the part
+ * of the own prompt that must be read or fetched, and the running batch; plus penalties for crossing a
+ * failure domain, for outdated weights and for recent failures.
+ */
+package org.guavapath.core.placement
+
+import com.dynatrace.hash4j.hashing.Hashing
+import org.guavapath.core.fleet.PromptShape
+import org.guavapath.core.fleet.Replica
+import org.guavapath.core.fleet.ReplicaId
+import org.guavapath.core.fleet.ServiceName
+import org.guavapath.core.fleet.WeightsNumber
+import org.guavapath.core.identity.FailureDomainName
+import org.guavapath.core.identity.WorkspaceName
+import org.guavapath.core.routing.CacheSalt
+import org.guavapath.core.time.MonotonicTime
+import org.guavapath.core.weights.NamedWeights
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * What is to be placed.
+ *
+ * @property service the service that the request goes to
+ * @property prompt set for requests to models
+ * @property cacheOwner workspace whose cached parts may be used alone, null if parts may be shared
+ * @property excluded replicas that were tried already
+ */
+public data class PlacementRequest(
+    public val service: ServiceName,
+    public val prompt: PromptShape?,
+    public val cacheOwner: WorkspaceName?,
+    public val excluded: Set<ReplicaId>,
+)
+
+/**
+ * A replica with its cost.
+ *
+ * @property record the replica
+ * @property cost expected time to the first event with all penalties
+ * @property heldTokens tokens at the prompt's beginning that it holds
+ * @property fetchFrom a replica to fetch more of the prompt from, null if reading is as fast
+ * @property path the prompt's path under the replica's weights, null for plain requests
+ * @property weights weights that the request is to meet
+ */
+public data class ScoredReplica(
+    public val record: ReplicaRecord,
+    public val cost: Duration,
+    public val heldTokens: Int,
+    public val fetchFrom: Replica?,
+    public val path: PromptPath?,
+    public val weights: WeightsNumber?,
+) {
+    /** Tokens of the prompt that the replica has to read or fetch. */
+    public fun missingTokens(prompt: PromptShape?): Long = maxOf(0, (prompt?.promptTokens ?: 0) - heldTokens)
+}
+
+/** The outcome of a choice. */
+public sealed class PlacementResult {
+    /**
+     * A replica was chosen.
+     *
+     * @property chosen the choice
+     * @property candidates number of replicas that were compared
+     */
+    public data class Chosen(public val chosen: ScoredReplica, public val candidates: Int) : PlacementResult()
+
+    /** No replica can take the request: none is listed, all leave, or all have weights that are too old. */
+    public data class NoReplica(public val reason: String) : PlacementResult()
+}
+
+/**
+ * Chooses replicas for one VM in [domain].
+ *
+ * @param book all replicas
+ * @param directory which replicas hold which prompts
+ * @param weights the weights named for each model
+ */
+public class Placement(
+    private val domain: FailureDomainName,
+    private val book: ReplicaBook,
+    private val directory: PromptDirectory,
+    private val weights: NamedWeights,
+) {
+    /** Chooses a replica for [request] at [now]. */
+    public fun choose(request: PlacementRequest, now: MonotonicTime): PlacementResult {
+        val listed = book.of(request.service)
+        val usable = listed.filter { !it.entry.isDraining && it.entry.id !in request.excluded }
+        val current = usable.filter { isCurrentEnough(it, request.prompt, now) }
+        if (current.isEmpty()) {
+            return PlacementResult.NoReplica("${listed.size} listed, ${usable.size} usable, none with current weights")
+        }
+        val sound = current.filter { !it.health.isAvoided(now) && it.loadingUntil <= now }
+        val candidates = sound.ifEmpty { current.filter { it.loadingUntil <= now } }.ifEmpty { current }
+        val holders = current.map { it.entry.id }.toSet()
+        val scored = candidates.map { score(it, request, holders, now) }
+        val chosen = scored.minWith(compareBy<ScoredReplica> { it.cost }.thenBy { it.record.entry.id })
+        return PlacementResult.Chosen(chosen, candidates.size)
+    }
+
+    private fun isCurrentEnough(record: ReplicaRecord, prompt: PromptShape?, now: MonotonicTime): Boolean {
+        val number = prompt?.let { record.weights(it.model) } ?: return true
+        return weights.outdatedFor(prompt.model, number, now) < LONGEST_OUTDATED
+    }
+
+    private fun score(
+        record: ReplicaRecord,
+        request: PlacementRequest,
+        holders: Set<ReplicaId>,
+        now: MonotonicTime,
+    ): ScoredReplica {
+        val prompt = request.prompt
+        val penalty = penalty(record)
+        val load = record.load(now)
+        if (prompt == null) {
+            val cost = penalty + PLAIN_WORK * load.requests / maxOf(1, record.entry.slots)
+            return ScoredReplica(record, cost, heldTokens = 0, fetchFrom = null, path = null, weights = null)
+        }
+        val number = record.weights(prompt.model)
+        val path = PromptPath.of(saltOf(request, number), prompt.parts)
+        val held = directory.heldTokens(path, record.entry.id, now)
+        val holder = directory.bestHolder(path, holders - record.entry.id, now)
+            ?.takeIf { it.second > held + FEWEST_FETCHED }
+        val fetched = holder?.let { it.second - held } ?: 0
+        val missing = maxOf(0, prompt.promptTokens - held - fetched)
+        val cost = penalty + staleness(prompt, number, now) + batch(load, record.entry.slots) +
+            READ_TIME * (load.promptTokens + missing).toDouble() + FETCH_TIME * fetched +
+            affinity(path, record.entry, held + fetched)
+        return ScoredReplica(record, cost, held, holder?.let { book[it.first]?.entry }, path, number)
+    }
+
+    private fun penalty(record: ReplicaRecord): Duration {
+        val crossing = if (record.entry.failureDomain == domain) Duration.ZERO else CROSSING
+        return crossing + FAILURE_WEIGHT * record.health.recentFailures + record.entry.warmUpLeft / WARM_UP_DIVISOR
+    }
+
+    private fun staleness(prompt: PromptShape, number: WeightsNumber?, now: MonotonicTime): Duration {
+        val age = number?.let { weights.outdatedFor(prompt.model, it, now) } ?: Duration.ZERO
+        return if (age > HARMLESS_OUTDATED) OUTDATED else Duration.ZERO
+    }
+
+    private fun batch(load: ReplicaLoad, slots: Int): Duration =
+        STEP_TIME * load.requests + (if (load.requests >= slots) FULL_BATCH else Duration.ZERO)
+
+    /** Where nobody holds the shared part, all VMs prefer the same replica of their failure domain. */
+    private fun affinity(path: PromptPath, replica: Replica, known: Int): Duration {
+        val step = path.sharedStep
+        if (known > 0 || step == null) return Duration.ZERO
+        val hasher = Hashing.xxh3_64()
+        val rank = hasher.hashLongLongToLong(step.bits, hasher.hashCharsToLong(replica.id.text)) ushr RANK_SHIFT
+        return AFFINITY * (rank.toDouble() / RANK_RANGE)
+    }
+
+    private fun saltOf(request: PlacementRequest, number: WeightsNumber?): CacheSalt =
+        cacheSalt(request.cacheOwner, checkNotNull(request.prompt).model, number)
+
+    private companion object {
+        /** An engine reads 85.2 tokens of a prompt in a millisecond. */
+        val READ_TIME = (1.0 / 85.2).milliseconds
+
+        /** 327,680 bytes a token over a link of 1,500 Gbit/s. */
+        val FETCH_TIME = 0.00175.milliseconds
+
+        /** Each running request adds about this much to the time of a step in which prompts are read. */
+        val STEP_TIME = 0.4.milliseconds
+        val FULL_BATCH = 400.milliseconds
+
+        /** Typical work of a plain request. */
+        val PLAIN_WORK = 43.milliseconds
+
+        /** A request of 12 KB costs the network about as much as reading 3,000 tokens costs a replica. */
+        val CROSSING = 40.milliseconds
+        val FAILURE_WEIGHT = 300.milliseconds
+        const val WARM_UP_DIVISOR = 10
+        val HARMLESS_OUTDATED = 1300.milliseconds
+        val OUTDATED = 150.milliseconds
+
+        /** Requests must not begin on weights that were replaced 6 s ago; the rest is room for queues and clocks. */
+        val LONGEST_OUTDATED = 5.seconds
+
+        /** A fetch has a fixed cost of about a millisecond; fewer tokens are read as fast. */
+        const val FEWEST_FETCHED = 200
+        val AFFINITY = 10.milliseconds
+        const val RANK_SHIFT = 40
+        const val RANK_RANGE = (1L shl 24).toDouble()
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/guavapath/core/quota/SharedBucket.kt
@@ -0,0 +1,97 @@
+package org.guavapath.core.quota
+
+import org.guavapath.core.time.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * One workspace's token bucket as one VM sees it: its own admissions at once, those of other VMs as
+ * their reports arrive.
+ *
+ * The bucket may be overdrawn, by one request and by admissions on other VMs that were not reported
+ * yet. The debt is worked off before anything is admitted again, so that the long-run rate holds.
+ *
+ * @param createdAt when the bucket starts
+ * @param startsFull whether it starts with the whole burst, otherwise empty
+ */
+public class SharedBucket(createdAt: MonotonicTime, private val startsFull: Boolean) {
+    private var ratePerSecond = 0.0
+    private var burst = 0.0
+    private var share = 1.0
+    private var level = 0.0
+    private var refilledAt = createdAt
+    private var isConfigured = false
+
+    /** Whether the workspace has no limit. */
+    public val isUnlimited: Boolean get() = ratePerSecond == 0.0
+
+    /** Takes over the workspace's limit; the level keeps its distance from a full bucket. */
+    public fun configure(ratePerSecond: Long, burst: Long, now: MonotonicTime) {
+        refill(now)
+        val before = this.burst
+        this.ratePerSecond = ratePerSecond.toDouble()
+        this.burst = burst.toDouble()
+        level = when {
+            !isConfigured -> if (startsFull) this.burst else 0.0
+            else -> level + minOf(0.0, this.burst - before)
+        }
+        isConfigured = true
+    }
+
+    /** Uses only [part] of the rate and of the burst from [now] on, from 0 to 1. */
+    public fun limitTo(part: Double, now: MonotonicTime) {
+        require(part in 0.0..1.0) { "part is $part, allowed is 0 to 1" }
+        refill(now)
+        share = part
+        level = minOf(level, burst * share)
+    }
+
+    /** Admits [tokens] if the bucket holds anything, and returns whether it did. */
+    public fun admit(tokens: Long, now: MonotonicTime): Boolean {
+        if (isUnlimited) return true
+        refill(now)
+        if (level < minOf(tokens.toDouble(), burst * share * FULLEST_WAIT)) return false
+        level -= tokens
+        return true
+    }
+
+    /** Charges [tokens] that another VM admitted. */
+    public fun charge(tokens: Long, now: MonotonicTime) {
+        refill(now)
+        level = maxOf(level - tokens, -burst * LARGEST_DEBT - tokens)
+    }
+
+    /** Gives back [tokens] of an admitted request that did not run. */
+    public fun refund(tokens: Long) {
+        level = minOf(level + tokens, burst * share)
+    }
+
+    /** Returns how long it takes until a request of [tokens] is admitted if nothing else is. */
+    public fun waitFor(tokens: Long, now: MonotonicTime): Duration {
+        refill(now)
+        val missing = minOf(tokens.toDouble(), burst * share * FULLEST_WAIT) - level
+        val rate = ratePerSecond * share
+        return when {
+            missing <= 0 -> 0.milliseconds
+            rate == 0.0 -> LONGEST_WAIT
+            else -> minOf((missing / rate).seconds, LONGEST_WAIT)
+        }
+    }
+
+    private fun refill(now: MonotonicTime) {
+        if (now <= refilledAt) return
+        val seconds = (now - refilledAt) / 1.seconds
+        refilledAt = now
+        level = minOf(level + ratePerSecond * share * seconds, burst * share)
+    }
+
+    private companion object {
+        /** Part of the burst that even the largest request waits for; the rest is drawn as debt. */
+        const val FULLEST_WAIT = 0.5
+
+        /** Debt in bursts beyond which reports of other VMs no longer add up: they then describe a fault. */
+        const val LARGEST_DEBT = 4.0
+        val LONGEST_WAIT = 10.seconds
+    }
+}
--- a/core/src/main/kotlin/org/guavapath/core/results/DispatchCode.kt
+++ b/core/src/main/kotlin/org/guavapath/core/results/DispatchCode.kt
@@ -97,4 +97,22 @@
         outcome = RunOutcome.DONE,
         sentence = "An earlier attempt with this idempotency key was done.",
     )
+
+    /** The request waited until its time was over and was not given to an endpoint. */
+    public data object DeadlinePassed : DispatchCode(
+        number = 5011,
+        label = "deadline-passed",
+        status = HttpStatus.UNAVAILABLE,
+        outcome = RunOutcome.NOT_RUN,
+        sentence = "No endpoint took the request in time.",
+    )
+
+    /** Every endpoint that was asked refused the request before it ran. */
+    public data object EndpointsBusy : DispatchCode(
+        number = 5012,
+        label = "endpoints-busy",
+        status = HttpStatus.UNAVAILABLE,
+        outcome = RunOutcome.NOT_RUN,
+        sentence = "The endpoints refused the request; it was not run.",
+    )
 }
--- a/core/src/main/kotlin/org/guavapath/core/schema/Schema.kt
+++ b/core/src/main/kotlin/org/guavapath/core/schema/Schema.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.doubleOrNull
 import kotlinx.serialization.json.longOrNull
 
 private const val LONGEST_SHOWN_VALUE = 60
@@ -43,6 +44,15 @@
         }
     }
 
+    /** A number from [least] to [most]. */
+    public class Number(private val least: Double, private val most: Double) : Schema() {
+        override fun faults(element: JsonElement, path: String): List<SchemaFault> {
+            val number = (element as? JsonPrimitive)?.takeIf { !it.isString }?.doubleOrNull
+            if (number != null && number in least..most) return emptyList()
+            return fault(path, element, "a number from $least to $most")
+        }
+    }
+
     /** A text that matches [pattern], described in words by [description]. */
     public class Text(private val pattern: Regex, private val description: String) : Schema() {
         override fun faults(element: JsonElement, path: String): List<SchemaFault> {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/Daemon.kt
@@ -123,7 +123,7 @@
             is PeerMessage.OfConfiguration -> configuration.send(ConfigurationMessage.FromPeer(from, message))
             is PeerMessage.SlotTableShared ->
                 limits.send(LimitsTaskMessage.TableSeen(message.table, message.version, MonotonicTime.ZERO))
-            is PeerMessage.Hello, is PeerMessage.Proof, PeerMessage.Heartbeat -> Unit
+            is PeerMessage.Hello, is PeerMessage.Proof, is PeerMessage.OfFleet, PeerMessage.Heartbeat -> Unit
         }
     }
 
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -0,0 +1,91 @@
+package org.guavapath.daemon.gateway
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.guavapath.core.fleet.FleetRequest
+import org.guavapath.core.fleet.FleetVersion
+import org.guavapath.core.identity.RequestId
+import org.guavapath.core.placement.PlacementResult
+import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.pipeline.Refusal
+
+/**
+ * One JSON line for each decision that touches a request or changes what this VM believes.
+ *
+ * Keys and prompts are never part of a line. The appender drops lines rather than block.
+ */
+internal class GatewayLog {
+    private val logger = KotlinLogging.logger("org.guavapath.gateway")
+
+    /** A request was refused before it was admitted. */
+    fun refused(id: RequestId?, refusal: Refusal, version: FleetVersion?, route: String?, workspace: String?) =
+        line(
+            "refused",
+            "requestId" to id?.text,
+            "code" to refusal.code.number,
+            "result" to refusal.code.label,
+            "detail" to refusal.detail,
+            "retryAfterMs" to refusal.retryAfter?.inWholeMilliseconds,
+            "route" to route,
+            "workspace" to workspace,
+            "configuration" to version?.number,
+        )
+
+    /** A replica was chosen for a request. */
+    fun dispatched(admitted: AdmittedRequest, result: PlacementResult.Chosen, send: Int) {
+        val chosen = result.chosen
+        val load = chosen.record.load(MonotonicTime.now())
+        line(
+            "dispatched",
+            "requestId" to admitted.request.id.text,
+            "send" to send,
+            "route" to admitted.route.name,
+            "workspace" to admitted.workspace?.name?.text,
+            "replica" to chosen.record.entry.id.text,
+            "candidates" to result.candidates,
+            "costMs" to chosen.cost.inWholeMilliseconds,
+            "promptTokens" to admitted.request.prompt?.promptTokens,
+            "heldTokens" to chosen.heldTokens,
+            "fetchFrom" to chosen.fetchFrom?.id?.text,
+            "queuedTokens" to load.promptTokens,
+            "running" to load.requests,
+            "weights" to chosen.weights?.number,
+        )
+    }
+
+    /** A request to a replica gave no answer that could be passed on. */
+    fun attemptEnded(admitted: AdmittedRequest, attempt: Attempt, reason: String) = line(
+        "attempt ended",
+        "requestId" to admitted.request.id.text,
+        "replica" to attempt.choice.record.entry.id.text,
+        "afterMs" to (MonotonicTime.now() - attempt.startedAt).inWholeMilliseconds,
+        "failureShare" to attempt.choice.record.health.recentFailures,
+        "reason" to reason,
+    )
+
+    /** A request ended. */
+    fun ended(admitted: AdmittedRequest, ending: Ending, sends: Int, firstEventAt: MonotonicTime?) = line(
+        "ended",
+        "requestId" to admitted.request.id.text,
+        "route" to admitted.route.name,
+        "workspace" to admitted.workspace?.name?.text,
+        "code" to ending.code.number,
+        "result" to ending.code.label,
+        "status" to ending.status,
+        "detail" to ending.detail,
+        "sends" to sends,
+        "firstEventMs" to firstEventAt?.let { since(admitted.request, it) },
+        "milliseconds" to since(admitted.request, MonotonicTime.now()),
+    )
+
+    /** What this VM believes has changed, or a dependency was lost or regained. */
+    fun belief(message: String, vararg fields: Pair<String, Any?>) = line(message, *fields)
+
+    private fun since(request: FleetRequest, time: MonotonicTime) = (time - request.receivedAt).inWholeMilliseconds
+
+    private fun line(message: String, vararg fields: Pair<String, Any?>) {
+        logger.atInfo {
+            this.message = message
+            payload = fields.filter { it.second != null }.toMap()
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
@@ -0,0 +1,52 @@
+package org.guavapath.daemon.gateway
+
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.Tags
+import io.micrometer.core.instrument.Timer
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.guavapath.core.results.ResultCode
+import org.guavapath.core.time.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.toJavaDuration
+
+/** The gateway's counters and latency histograms, in the Prometheus text format. */
+internal class GatewayMetrics {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+
+    /** Counts a request that was refused before it was admitted. */
+    fun refused(code: ResultCode) {
+        registry.counter("guavapath.gateway.refused", codeTags(code)).increment()
+    }
+
+    /** Counts a request that ended and how long it took. */
+    fun ended(code: ResultCode, admitted: AdmittedRequest, firstEventAt: MonotonicTime?) {
+        val tags = codeTags(code).and("route", admitted.route.name)
+        val receivedAt = admitted.request.receivedAt
+        timer("guavapath.gateway.request", tags).record((MonotonicTime.now() - receivedAt).toJavaDuration())
+        if (firstEventAt != null) {
+            timer("guavapath.gateway.first.event", Tags.of("route", admitted.route.name))
+                .record((firstEventAt - receivedAt).toJavaDuration())
+        }
+    }
+
+    /** Shows the present value of [read] under [name]. */
+    fun gauge(name: String, read: () -> Number) {
+        Gauge.builder(name, read).register(registry)
+    }
+
+    fun text(): String = registry.scrape()
+
+    private fun codeTags(code: ResultCode) = Tags.of("code", code.number.toString()).and("name", code.label)
+
+    private fun timer(name: String, tags: Tags): Timer = Timer.builder(name)
+        .tags(tags)
+        .serviceLevelObjectives(*BOUNDS.map { it.toJavaDuration() }.toTypedArray())
+        .register(registry)
+
+    private companion object {
+        /** From a plain answer to the longest deadline of the users' requests. */
+        val BOUNDS: List<Duration> = listOf(50, 100, 200, 400, 600, 800, 1_500, 3_000, 6_000, 12_000).map { it.milliseconds }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/IncomingRequest.kt
@@ -0,0 +1,50 @@
+package org.guavapath.daemon.gateway
+
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpUtil
+import org.guavapath.core.time.MonotonicTime
+import java.io.ByteArrayOutputStream
+
+/** A caller's request as it arrives. */
+internal class IncomingRequest(request: HttpRequest, val receivedAt: MonotonicTime) {
+    val method: HttpMethod = request.method()
+
+    /** Path and query, byte for byte as sent. */
+    val target: String = request.uri()
+    val headers: HttpHeaders = request.headers()
+    val keepsConnection: Boolean = HttpUtil.isKeepAlive(request)
+    private val bytes = ByteArrayOutputStream()
+
+    val path: String get() = target.substringBefore('?')
+    val body: ByteArray get() = bytes.toByteArray()
+    val bodySize: Int get() = bytes.size()
+
+    /** The host that the request names, without a port. */
+    val host: String get() = headers.get("Host").orEmpty().substringBefore(':')
+
+    fun append(part: ByteArray) = bytes.write(part)
+
+    /**
+     * Returns why the request's form is refused, null if it is sound.
+     *
+     * Replicas must read the same request as this gateway did: forms that two readers may take for
+     * different lengths or paths are refused.
+     */
+    fun fault(): String? = when {
+        headers.getAll("Host").size != 1 -> "a request has exactly one Host header"
+        !target.startsWith('/') -> "the target is not a path"
+        hasDotSegment() -> "the path has dot segments"
+        headers.getAll("Transfer-Encoding").any { !it.equals("chunked", ignoreCase = true) } ->
+            "the transfer encoding is not supported"
+        headers.getAll("Transfer-Encoding").isNotEmpty() && headers.contains("Content-Length") ->
+            "both a length and a transfer encoding"
+        else -> null
+    }
+
+    private fun hasDotSegment(): Boolean = path.split('/').any { segment ->
+        val plain = segment.replace("%2e", ".", ignoreCase = true)
+        plain == "." || plain == ".."
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Main.kt
@@ -0,0 +1,75 @@
+/** The program guavapath-gateway: reads its settings and runs one gateway until it is asked to end. */
+package org.guavapath.daemon.gateway
+
+import com.github.michaelbull.result.fold
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import org.guavapath.platform.store.ObjectStoreClient
+import sun.misc.Signal
+import java.io.IOException
+import java.nio.file.Path
+import java.util.concurrent.CountDownLatch
+import kotlin.io.path.readText
+import kotlin.system.exitProcess
+
+private const val EXIT_WRONG_SETTINGS = 2
+private const val SETTINGS_VARIABLE = "GUAVAPATH_SETTINGS"
+
+/**
+ * Runs `guavapath-gateway [--settings FILE] [--check]`. Without a file, GUAVAPATH_SETTINGS names it.
+ * Wrong settings end it with exit status 2.
+ */
+public fun main(arguments: Array<String>) {
+    val parser = ArgParser("guavapath-gateway")
+    val file by parser.option(ArgType.String, "settings", description = "JSON file of settings")
+    val isCheck by parser.option(ArgType.Boolean, "check", description = "check the settings and end")
+    parser.parse(arguments)
+    val path = file ?: System.getenv(SETTINGS_VARIABLE) ?: fail(listOf("no settings: --settings or $SETTINGS_VARIABLE"))
+    val settings = read(path)
+    if (isCheck == true) return
+    run(settings, path)
+}
+
+private fun run(settings: GatewaySettings, path: String) {
+    val gateway = Gateway(settings, ObjectStoreClient(settings.store))
+    val ended = CountDownLatch(1)
+    Signal.handle(Signal("TERM")) { ended.countDown() }
+    Signal.handle(Signal("HUP")) { reload(settings, path) }
+    gateway.start()
+    ended.await()
+    gateway.shutDown()
+    exitProcess(0)
+}
+
+/** Checks the settings again. Addresses and names hold for the life of the process. */
+private fun reload(before: GatewaySettings, path: String) {
+    val logger = KotlinLogging.logger("org.guavapath.gateway")
+    val text = try {
+        Path.of(path).readText()
+    } catch (exception: IOException) {
+        logger.warn(exception) { "settings not reloaded" }
+        return
+    }
+    GatewaySettings.read(text).fold(
+        success = { next -> logger.info { if (next == before) "settings unchanged" else "settings changed; they hold from the next start" } },
+        failure = { faults -> logger.warn { "settings not reloaded: $faults" } },
+    )
+}
+
+private fun read(path: String): GatewaySettings {
+    val text = try {
+        Path.of(path).readText()
+    } catch (exception: IOException) {
+        fail(listOf("$path cannot be read: ${exception.message}"))
+    }
+    return GatewaySettings.read(text).fold(
+        success = { it },
+        failure = { faults -> fail(faults.map { "$path: $it" }) },
+    )
+}
+
+private fun fail(faults: List<String>): Nothing {
+    faults.forEach { System.err.println(it) }
+    exitProcess(EXIT_WRONG_SETTINGS)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
@@ -0,0 +1,135 @@
+package org.guavapath.daemon.gateway
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.delay
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.guavapath.core.identity.Incarnation
+import org.guavapath.core.identity.VmId
+import org.guavapath.core.store.ObjectKind
+import org.guavapath.core.store.ObjectStore
+import org.guavapath.core.store.StoreError
+import org.guavapath.core.store.StoredObject
+import org.guavapath.core.time.MonotonicTime
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** How a gateway registers itself at the store, under its VM's name. */
+@Serializable
+internal data class MemberEntry(val peers: String, val incarnation: Incarnation)
+
+/**
+ * The gateways of the fleet, each registered by itself at the store.
+ *
+ * An entry stays until its gateway ends in order, or until it has been silent for so long that another
+ * gateway removes it. A gateway that sees its own entry gone writes it again.
+ */
+internal class Members(
+    private val self: VmId,
+    private val entry: MemberEntry,
+    private val store: ObjectStore,
+    private val log: GatewayLog,
+) {
+    private val heardAt = HashMap<VmId, MonotonicTime>()
+    private var isRegistered = false
+    private var isLeaving = false
+
+    /** The other gateways and where they listen for peers. */
+    var others = emptyMap<VmId, String>()
+        private set
+
+    /** Gateways in the fleet, this one included. */
+    val fleetSize: Int get() = others.size + 1
+
+    /** Takes over the registered entries; returns whether the other gateways have changed. */
+    fun update(objects: Map<String, StoredObject>): Boolean {
+        val own = objects[self.text]?.let { decode(it) }
+        isRegistered = own == entry
+        val next = objects.filterKeys { it != self.text }
+            .mapNotNull { (name, stored) -> decode(stored)?.let { VmId(name) to it.peers } }
+            .toMap()
+        val isChanged = next != others
+        others = next
+        val now = MonotonicTime.now()
+        next.keys.forEach { heardAt.putIfAbsent(it, now) }
+        heardAt.keys.retainAll(next.keys)
+        return isChanged
+    }
+
+    fun heard(peer: VmId) {
+        if (peer in others) heardAt[peer] = MonotonicTime.now()
+    }
+
+    fun isAlive(peer: VmId): Boolean = heardAt[peer]?.let { MonotonicTime.now() - it < ALIVE_LIMIT } ?: false
+
+    /** Keeps this gateway registered. */
+    suspend fun keepRegistered(current: () -> Map<String, StoredObject>) {
+        while (true) {
+            if (!isRegistered && !isLeaving) register(current()[self.text])
+            delay(UPKEEP_INTERVAL)
+        }
+    }
+
+    /** Removes the entry of the gateway that was silent for longest, if it is surely gone. */
+    suspend fun removeSilent(current: () -> Map<String, StoredObject>) {
+        while (true) {
+            delay(REMOVAL_INTERVAL)
+            val now = MonotonicTime.now()
+            val gone = heardAt.entries.firstOrNull { now - it.value > GONE_LIMIT }?.key ?: continue
+            val isMine = others.keys.filter { isAlive(it) }.all { self < it }
+            val stored = current()[gone.text]
+            if (!isMine || stored == null) continue
+            val error = store.remove(MEMBERS, gone.text, stored.revision).fold(success = { null }, failure = { it })
+            log.belief("member removed", "vm" to gone.text, "error" to error?.toString())
+        }
+    }
+
+    /** Removes this gateway's entry before it ends. */
+    suspend fun leave(current: () -> Map<String, StoredObject>) {
+        isLeaving = true
+        val stored = current()[self.text] ?: return
+        store.remove(MEMBERS, self.text, stored.revision).getOrElse {
+            log.belief("member entry not removed", "error" to it.toString())
+        }
+    }
+
+    private suspend fun register(present: StoredObject?) {
+        val value = Json.encodeToJsonElement(MemberEntry.serializer(), entry)
+        val written = if (present == null) {
+            store.create(MEMBERS, self.text, value)
+        } else {
+            store.replace(MEMBERS, self.text, value, present.revision)
+        }
+        written.fold(
+            success = { isRegistered = true },
+            failure = { error -> retryAfterConflict(error) },
+        )
+    }
+
+    /** An entry of an earlier incarnation is replaced; other failures are tried again later. */
+    private suspend fun retryAfterConflict(error: StoreError) {
+        val present = (error as? StoreError.Conflict)?.present
+        log.belief("member entry not written", "error" to error.toString())
+        if (present != null && decode(present) != entry) register(present)
+    }
+
+    private fun decode(stored: StoredObject): MemberEntry? = try {
+        Json.decodeFromJsonElement(MemberEntry.serializer(), stored.value)
+    } catch (exception: SerializationException) {
+        log.belief("member entry ignored", "vm" to stored.name, "error" to exception.message)
+        null
+    }
+
+    companion object {
+        /** Entries of gateways. */
+        val MEMBERS = ObjectKind("guavapath-gateways")
+        private val ALIVE_LIMIT = 1500.milliseconds
+        private val UPKEEP_INTERVAL = 500.milliseconds
+        private val REMOVAL_INTERVAL = 5.seconds
+
+        /** Longer than any restart; a gateway that was only cut off registers again. */
+        private val GONE_LIMIT = 25.seconds
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
@@ -0,0 +1,116 @@
+package org.guavapath.daemon.gateway
+
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.Json
+import org.guavapath.core.fleet.ReplicaId
+import org.guavapath.core.identity.Incarnation
+import org.guavapath.core.identity.VmId
+import org.guavapath.core.placement.ReplicaBook
+import org.guavapath.core.placement.ReplicaLoad
+import org.guavapath.core.quota.FleetQuota
+import org.guavapath.core.store.Listing
+import org.guavapath.core.store.Revision
+import org.guavapath.core.store.StoredObject
+import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.peers.PeerMessage
+import org.guavapath.daemon.peers.PeerSender
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * What gateways tell each other: usage of limits, work at replicas, and what they have of the store.
+ *
+ * A gateway that lacks a change which another has, for longer than the store's own delay, asks for it.
+ */
+internal class PeerExchange(
+    private val self: VmId,
+    private val views: List<StoreView>,
+    private val peers: PeerSender,
+    private val members: Members,
+    private val lease: RolloutLease,
+) {
+    private val served = HashMap<VmId, Boolean>()
+    private val behindSince = HashMap<StoreView, MonotonicTime>()
+
+    /** Tells the others this gateway's status, at once when it changes and now and then when it does not. */
+    suspend fun tellForever(incarnation: Incarnation, quota: FleetQuota, book: ReplicaBook) {
+        var last: PeerMessage.FleetStatus? = null
+        var quiet = 0
+        while (true) {
+            delay(INTERVAL)
+            val next = status(incarnation, quota, book)
+            quiet = if (next == last) quiet + 1 else 0
+            if (quiet % QUIET_INTERVALS == 0) peers.sendToAll(next)
+            last = next
+        }
+    }
+
+    /** Takes over what [from] tells about itself. */
+    fun heard(from: VmId, status: PeerMessage.FleetStatus, book: ReplicaBook) {
+        val now = MonotonicTime.now()
+        served[from] = status.isServedByStore
+        lease.heard(status.rollout)
+        status.loads.forEach { (replica, load) ->
+            book[ReplicaId(replica)]?.report(from, ReplicaLoad(load.promptTokens, load.requests), now)
+        }
+        views.forEach { catchUp(it, from, Revision(status.views[it.kind.text] ?: 0), now) }
+    }
+
+    /** Sends [to] this gateway's copy of a kind. */
+    fun share(to: VmId, wanted: PeerMessage.ViewWanted) {
+        val view = views.firstOrNull { it.kind.text == wanted.kind } ?: return
+        val objects = view.objects.mapValues { PeerMessage.SharedObject(it.value.revision.number, it.value.value.toString()) }
+        peers.send(to, PeerMessage.ViewContent(wanted.kind, view.asOf.number, objects))
+    }
+
+    /** Takes over another gateway's copy of a kind. */
+    fun adopt(from: VmId, content: PeerMessage.ViewContent) {
+        val view = views.firstOrNull { it.kind.text == content.kind } ?: return
+        val objects = content.objects.mapValues { (name, shared) ->
+            StoredObject(name, Revision(shared.revision), Json.parseToJsonElement(shared.json))
+        }
+        view.adopt(Listing(objects, Revision(content.asOf)), from.text)
+    }
+
+    /** Whether this gateway should hold the rollout lease: the present holder, or the first that the store serves. */
+    fun isRolloutCandidate(): Boolean {
+        val isServedHere = views.all { it.isServed }
+        val holder = lease.known?.vm
+        if (!isServedHere) return false
+        if (holder == self) return true
+        if (holder != null && isFit(holder)) return false
+        return members.others.keys.filter { isFit(it) }.all { self < it }
+    }
+
+    private fun isFit(vm: VmId) = members.isAlive(vm) && served[vm] == true
+
+    private fun catchUp(view: StoreView, from: VmId, theirs: Revision, now: MonotonicTime) {
+        if (theirs <= view.asOf) {
+            behindSince.remove(view)
+            return
+        }
+        val since = behindSince.getOrPut(view) { now }
+        if (view.isServed && now - since < USUAL_DELAY) return
+        behindSince[view] = now
+        peers.send(from, PeerMessage.ViewWanted(view.kind.text))
+    }
+
+    private fun status(incarnation: Incarnation, quota: FleetQuota, book: ReplicaBook) = PeerMessage.FleetStatus(
+        incarnation = incarnation,
+        views = views.associate { it.kind.text to it.newestChange.number },
+        usage = quota.totals.toMap(),
+        loads = book.all.filter { it.ownLoad != ReplicaLoad.NONE }
+            .associate { it.entry.id.text to PeerMessage.SharedLoad(it.ownLoad.promptTokens, it.ownLoad.requests) },
+        isServedByStore = views.all { it.isServed },
+        rollout = lease.known,
+    )
+
+    private companion object {
+        val INTERVAL = 250.milliseconds
+
+        /** An unchanged status is told once in a while, as a sign of life. */
+        const val QUIET_INTERVALS = 3
+
+        /** Watches bring a change within this time while the store serves this gateway. */
+        val USUAL_DELAY = 600.milliseconds
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Reception.kt
@@ -0,0 +1,133 @@
+package org.guavapath.daemon.gateway
+
+import com.github.michaelbull.result.getOrElse
+import org.guavapath.core.fleet.CallerLimits
+import org.guavapath.core.fleet.FleetConfiguration
+import org.guavapath.core.fleet.FleetRequest
+import org.guavapath.core.fleet.FleetRoute
+import org.guavapath.core.fleet.FleetService
+import org.guavapath.core.fleet.FleetWorkspace
+import org.guavapath.core.identity.KeyHash
+import org.guavapath.core.identity.RequestId
+import org.guavapath.core.quota.QuotaVerdict
+import org.guavapath.core.results.DispatchCode
+import org.guavapath.core.results.IdentityCode
+import org.guavapath.core.results.LimitCode
+import org.guavapath.core.results.RequestCode
+import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.pipeline.Refusal
+import org.guavapath.platform.wire.RequestCodec
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Takes requests from callers: checks form, route, key and limit in turn, and starts an exchange. */
+internal class Reception(
+    private val context: ExchangeContext,
+    private val configuration: () -> FleetConfiguration?,
+) : FrontDoor {
+    /** The reason to refuse a request, thrown from check to check within this class only. */
+    private class Refused(val refusal: Refusal) : Exception(refusal.detail, null, false, false)
+
+    private val connections = HashSet<CallerConnection>()
+
+    /** Requests that are being served. */
+    var running = 0
+        private set
+
+    override var isDraining = false
+        private set
+
+    override val callerLimits: CallerLimits get() = configuration()?.callerLimits ?: LIMITS_AT_START
+
+    override fun opened(connection: CallerConnection) {
+        connections.add(connection)
+    }
+
+    override fun closed(connection: CallerConnection) {
+        connections.remove(connection)
+    }
+
+    /** From now on, connections end after the request that they carry. */
+    fun drain() {
+        isDraining = true
+    }
+
+    /** Closes the connections that carry no request, and returns how many are left. */
+    fun closeIdle(): Int {
+        connections.toList().forEach { it.closeIfIdle() }
+        return connections.size
+    }
+
+    override fun serve(request: IncomingRequest, sink: AnswerSink): RunningExchange? = try {
+        val exchange = Exchange(context, admit(request), sink)
+        exchange.start()
+        exchange
+    } catch (refused: Refused) {
+        val id = RequestCodec.decode({ request.headers.get(it) }, request.receivedAt).getOrElse { null }?.id
+        refuse(refused.refusal, id, request, sink)
+        null
+    }
+
+    private fun admit(request: IncomingRequest): AdmittedRequest {
+        val active = configuration() ?: refuse(Refusal(DispatchCode.NotConfigured, retryAfter = START_PAUSE))
+        request.fault()?.let { refuse(Refusal(RequestCode.MalformedHttp, it)) }
+        val route = active.route(request.host, request.path) ?: refuse(Refusal(RequestCode.RouteNotFound))
+        val workspace = workspace(active, route, request)
+        val decoded = RequestCodec.decode({ request.headers.get(it) }, request.receivedAt)
+            .getOrElse { refuse(Refusal(RequestCode.InvalidRequest, it)) }
+        val service = service(active, route, decoded.id)
+        val cost = workspace?.let { charge(it, decoded) } ?: 0
+        return AdmittedRequest(request, decoded, route, service, workspace, cost)
+    }
+
+    private fun workspace(active: FleetConfiguration, route: FleetRoute, request: IncomingRequest): FleetWorkspace? {
+        if (active.workspaces == null || route.isOpen) return null
+        val key = RequestCodec.key { request.headers.get(it) } ?: refuse(Refusal(IdentityCode.KeyMissing))
+        return active.workspace(KeyHash.of(key)) ?: refuse(Refusal(IdentityCode.KeyUnknown))
+    }
+
+    /** Spreads a route's requests over its services by weight; the same request always goes to the same. */
+    private fun service(active: FleetConfiguration, route: FleetRoute, id: RequestId): FleetService {
+        val total = route.targets.sumOf { it.weight }
+        var mark = if (total > 0) Math.floorMod(id.text.hashCode(), total) else 0
+        val target = route.targets.firstOrNull {
+            mark -= it.weight
+            mark < 0
+        } ?: route.targets.firstOrNull()
+        return target?.let { active.services[it.service] } ?: refuse(Refusal(DispatchCode.NoEndpoint))
+    }
+
+    private fun charge(workspace: FleetWorkspace, request: FleetRequest): Long {
+        val prompt = request.prompt
+        val cost = when {
+            !workspace.countsTokens -> 1
+            prompt == null -> workspace.plainTokens
+            else -> prompt.promptTokens + prompt.largestOutput
+        }
+        return when (val verdict = context.quota.admit(workspace.name, cost, MonotonicTime.now())) {
+            QuotaVerdict.Admitted -> cost
+            is QuotaVerdict.Exhausted -> refuse(Refusal(LimitCode.RateExceeded, retryAfter = verdict.retryAfter))
+        }
+    }
+
+    private fun refuse(refusal: Refusal): Nothing = throw Refused(refusal)
+
+    private fun refuse(refusal: Refusal, id: RequestId?, request: IncomingRequest, sink: AnswerSink) {
+        val active = configuration()
+        val route = active?.route(request.host, request.path)?.name
+        context.log.refused(id, refusal, active?.version, route, workspace = null)
+        context.metrics.refused(refusal.code)
+        sink.refuse(refusal, id)
+    }
+
+    private companion object {
+        /** A configuration comes within a few hundred milliseconds of the start if the store can be reached. */
+        val START_PAUSE = 300.milliseconds
+        val LIMITS_AT_START = CallerLimits(
+            headerBytes = 16_384,
+            bodyBytes = 4_194_304,
+            headerTimeout = 3.seconds,
+            idleTimeout = 15.seconds,
+        )
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
@@ -0,0 +1,125 @@
+package org.guavapath.daemon.gateway
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.guavapath.core.identity.Incarnation
+import org.guavapath.core.identity.VmId
+import org.guavapath.core.store.ObjectKind
+import org.guavapath.core.store.ObjectStore
+import org.guavapath.core.store.Revision
+import org.guavapath.core.store.StoredObject
+import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.peers.PeerMessage
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The lease as it lies in the store. */
+@Serializable
+internal data class LeaseRecord(val vm: VmId, val incarnation: Incarnation, val fencingToken: Long)
+
+/**
+ * The lease of the one gateway that orders replicas to load weights.
+ *
+ * The lease does not expire by itself: another gateway takes it over with a higher fencing token, and the
+ * former holder finds that when it confirms its token, which it does shortly before each order. A confirmation
+ * counts for a moment by both clocks, so that a gateway that was frozen or suspended confirms again.
+ */
+internal class RolloutLease(
+    private val self: VmId,
+    private val incarnation: Incarnation,
+    private val store: ObjectStore,
+    private val log: GatewayLog,
+) {
+    private class Confirmation(val at: MonotonicTime, val wallClock: Long)
+
+    private var confirmation: Confirmation? = null
+    private var usableFrom = MonotonicTime.ZERO
+
+    /** The holder as far as this gateway knows. */
+    var known: PeerMessage.RolloutHolder? = null
+        private set
+
+    /** Takes over what another gateway knows. */
+    fun heard(holder: PeerMessage.RolloutHolder?) {
+        val present = known
+        if (holder != null && (present == null || holder.fencingToken > present.fencingToken)) {
+            known = holder
+            confirmation = null
+        }
+    }
+
+    /** Returns the fencing token if this gateway surely holds the lease now, and takes the lease over if need be. */
+    suspend fun confirmed(): Long? {
+        if (!isFresh()) withTimeoutOrNull(CONFIRM_LIMIT) { confirm() }
+        val isUsable = isFresh() && MonotonicTime.now() >= usableFrom
+        return known?.takeIf { it.vm == self && isUsable }?.fencingToken
+    }
+
+    /** Whether the last confirmation still counts. */
+    fun isFresh(): Boolean {
+        val last = confirmation ?: return false
+        val steady = MonotonicTime.now() - last.at
+        val wall = (System.currentTimeMillis() - last.wallClock).milliseconds
+        return steady < CONFIRMED_FOR && wall < CONFIRMED_FOR && wall > -CONFIRMED_FOR
+    }
+
+    /** A replica has seen a higher token: this gateway is not the holder any more. */
+    fun lost() {
+        confirmation = null
+        known = null
+    }
+
+    private suspend fun confirm() {
+        val startedAt = Confirmation(MonotonicTime.now(), System.currentTimeMillis())
+        val stored = store.read(LEASES, LEASE).getOrElse {
+            log.belief("rollout lease not confirmed", "error" to it.toString())
+            return
+        }
+        val record = stored?.let { decode(it) }
+        if (record?.vm == self && record.incarnation == incarnation) {
+            known = PeerMessage.RolloutHolder(self, record.fencingToken)
+            confirmation = startedAt
+        } else {
+            takeOver(record, stored?.revision, startedAt)
+        }
+    }
+
+    private suspend fun takeOver(former: LeaseRecord?, revision: Revision?, startedAt: Confirmation) {
+        val next = LeaseRecord(self, incarnation, (former?.fencingToken ?: 0) + 1)
+        val value = Json.encodeToJsonElement(LeaseRecord.serializer(), next)
+        val written = if (revision == null) {
+            store.create(LEASES, LEASE, value)
+        } else {
+            store.replace(LEASES, LEASE, value, revision)
+        }
+        written.fold(
+            success = {
+                known = PeerMessage.RolloutHolder(self, next.fencingToken)
+                confirmation = startedAt
+                usableFrom = if (former == null) startedAt.at else startedAt.at + HANDOVER_PAUSE
+                log.belief("rollout lease taken", "token" to next.fencingToken, "former" to former?.vm?.text)
+            },
+            failure = { log.belief("rollout lease not taken", "error" to it.toString()) },
+        )
+    }
+
+    private fun decode(stored: StoredObject): LeaseRecord? = try {
+        Json.decodeFromJsonElement(LeaseRecord.serializer(), stored.value)
+    } catch (exception: SerializationException) {
+        log.belief("rollout lease not readable", "error" to exception.message)
+        null
+    }
+
+    private companion object {
+        val LEASES = ObjectKind("guavapath-leases")
+        const val LEASE = "rollout"
+        val CONFIRMED_FOR = 700.milliseconds
+        val CONFIRM_LIMIT = 600.milliseconds
+
+        /** The former holder's last confirmation and the order sent under it have run out by then. */
+        val HANDOVER_PAUSE = 1000.milliseconds
+    }
+}
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -6,6 +6,7 @@
 import org.guavapath.core.config.ConfigurationVersion
 import org.guavapath.core.identity.Incarnation
 import org.guavapath.core.identity.VmId
+import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.limits.LimitMessage
 import org.guavapath.core.limits.SlotTable
 import org.guavapath.core.platform.ObjectVersion
@@ -56,6 +57,57 @@
     /** A whole configuration. */
     @Serializable
     data class ConfigurationContent(val change: AcceptedChange, val parts: List<String>) : OfConfiguration()
+
+    /** A message between gateways. */
+    @Serializable
+    sealed class OfFleet : PeerMessage()
+
+    /**
+     * What a gateway tells the others several times a second.
+     *
+     * @property views revision at which its copy of each kind of objects last changed
+     * @property usage tokens that it admitted since its start, by workspace
+     * @property loads its work at replicas, by replica
+     * @property isServedByStore whether the store serves it
+     * @property rollout the holder of the rollout lease as it knows it
+     */
+    @Serializable
+    data class FleetStatus(
+        val incarnation: Incarnation,
+        val views: Map<String, Long>,
+        val usage: Map<WorkspaceName, Long>,
+        val loads: Map<String, SharedLoad>,
+        val isServedByStore: Boolean,
+        val rollout: RolloutHolder?,
+    ) : OfFleet()
+
+    /** Work at one replica: prompt tokens that are not read yet, and requests. */
+    @Serializable
+    data class SharedLoad(val promptTokens: Long, val requests: Int)
+
+    /** The gateway [vm] gives the orders to load weights, with [fencingToken]. */
+    @Serializable
+    data class RolloutHolder(val vm: VmId, val fencingToken: Long)
+
+    /** The sender wants the other's copy of [kind]. */
+    @Serializable
+    data class ViewWanted(val kind: String) : OfFleet()
+
+    /** A whole copy of [kind]: the values as JSON text by name. */
+    @Serializable
+    data class ViewContent(val kind: String, val asOf: Long, val objects: Map<String, SharedObject>) : OfFleet()
+
+    /** An object as it lies in the store. */
+    @Serializable
+    data class SharedObject(val revision: Long, val json: String)
+
+    /** The replica loads weights for up to [milliseconds] and should get no requests meanwhile. */
+    @Serializable
+    data class ReplicaLoading(val replica: String, val milliseconds: Long) : OfFleet()
+
+    /** The replica has weights [number] of [model] now. */
+    @Serializable
+    data class ReplicaLoaded(val replica: String, val model: String, val number: Long) : OfFleet()
 }
 
 /** Sends messages to other daemons; a message to a daemon that cannot be reached is dropped. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerTask.kt
@@ -16,6 +16,7 @@
 import io.ktor.network.sockets.openWriteChannel
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -41,7 +42,7 @@
     private val logger = KotlinLogging.logger {}
     private val selector = SelectorManager(Dispatchers.IO)
     private val links = ConcurrentHashMap<VmId, DialledLink>()
-    private val dialled = ConcurrentHashMap.newKeySet<String>()
+    private val dialled = ConcurrentHashMap<String, Job>()
 
     /** VMs that messages can be sent to now. */
     val linkedPeers: Set<VmId> get() = links.keys
@@ -55,7 +56,12 @@
 
     /** Keeps a link to the daemon at [address], host and port; further calls change nothing. */
     fun keepLink(scope: CoroutineScope, address: String, receiver: PeerReceiver) {
-        if (dialled.add(address)) scope.launch { dialForever(address, receiver) }
+        dialled.computeIfAbsent(address) { scope.launch { dialForever(it, receiver) } }
+    }
+
+    /** Ends the link to the daemon at [address] and does not dial it again. */
+    fun dropLink(address: String) {
+        dialled.remove(address)?.cancel()
     }
 
     override fun send(to: VmId, message: PeerMessage) {
