--- a/core/src/main/kotlin/org/guavapath/core/fleet/FleetConfiguration.kt
+++ b/core/src/main/kotlin/org/guavapath/core/fleet/FleetConfiguration.kt
@@ -69,6 +69,7 @@
  * A route: requests to [host] whose path begins with [pathPrefix] go to one of [targets].
  *
  * @property name its name
+ * @property repeatability whether a request may be sent again when its outcome is unknown
  * @property timeout longest time that a caller is kept waiting
  * @property targetLatency time within which an answer is worth most to the caller
  * @property priority rank among routes, 0 first
@@ -182,7 +183,9 @@
 ) {
     private val routesByHost = routes.groupBy { it.host.lowercase() }
         .mapValues { (_, group) -> group.sortedByDescending { it.pathPrefix.length } }
-    private val workspaceByKey = workspaces.orEmpty().flatMap { workspace -> workspace.keys.map { it to workspace } }.toMap()
+    private val workspaceByKey = workspaces.orEmpty()
+        .flatMap { workspace -> workspace.keys.map { it to workspace } }
+        .toMap()
 
     /** Returns the route with the longest prefix that begins [path] on [host], null if none matches. */
     public fun route(host: String, path: String): FleetRoute? =
--- a/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -69,7 +69,11 @@
      */
     public data class Chosen(public val chosen: ScoredReplica, public val candidates: Int) : PlacementResult()
 
-    /** No replica can take the request: none is listed, all leave, or all have weights that are too old. */
+    /**
+     * No replica can take the request: none is listed, all leave, or all have weights that are too old.
+     *
+     * @property reason how many replicas fell out at which check
+     */
     public data class NoReplica(public val reason: String) : PlacementResult()
 }
 
--- a/core/src/main/kotlin/org/guavapath/core/placement/PromptDirectory.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/PromptDirectory.kt
@@ -8,6 +8,9 @@
 /** Memory bound: about 100 bytes an entry, so 2 MB on the smallest VM. */
 private const val LARGEST_DIRECTORY = 20_000
 
+private const val FIRST_CAPACITY = 1_024
+private const val LOAD_FACTOR = 0.75f
+
 /** At the usual traffic a replica's memory is written over within about eight seconds. */
 private val HELD_FOR = 8.seconds
 
@@ -21,7 +24,7 @@
         val usedAt = HashMap<ReplicaId, MonotonicTime>(2)
     }
 
-    private val holders = object : LinkedHashMap<BlockHash, Holders>(16, 0.75f, true) {
+    private val holders = object : LinkedHashMap<BlockHash, Holders>(FIRST_CAPACITY, LOAD_FACTOR, true) {
         override fun removeEldestEntry(eldest: MutableMap.MutableEntry<BlockHash, Holders>): Boolean =
             size > LARGEST_DIRECTORY
     }
--- a/core/src/main/kotlin/org/guavapath/core/quota/FleetQuota.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quota/FleetQuota.kt
@@ -85,9 +85,12 @@
     public fun admit(workspace: WorkspaceName, tokens: Long, now: MonotonicTime): QuotaVerdict {
         val bucket = buckets[workspace] ?: return QuotaVerdict.Admitted
         bucket.limitTo(reachableShare(now), now)
-        if (!bucket.admit(tokens, now)) return QuotaVerdict.Exhausted(bucket.waitFor(tokens, now))
-        admitted.merge(workspace, tokens, Long::plus)
-        return QuotaVerdict.Admitted
+        return if (bucket.admit(tokens, now)) {
+            admitted.merge(workspace, tokens, Long::plus)
+            QuotaVerdict.Admitted
+        } else {
+            QuotaVerdict.Exhausted(bucket.waitFor(tokens, now))
+        }
     }
 
     /** Gives back [tokens] of an admitted request that did not run. */
--- a/core/src/main/kotlin/org/guavapath/core/quota/SharedBucket.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quota/SharedBucket.kt
@@ -49,11 +49,10 @@
 
     /** Admits [tokens] if the bucket holds anything, and returns whether it did. */
     public fun admit(tokens: Long, now: MonotonicTime): Boolean {
-        if (isUnlimited) return true
         refill(now)
-        if (level < minOf(tokens.toDouble(), burst * share * FULLEST_WAIT)) return false
-        level -= tokens
-        return true
+        val isAdmitted = isUnlimited || level >= minOf(tokens.toDouble(), burst * share * FULLEST_WAIT)
+        if (isAdmitted && !isUnlimited) level -= tokens
+        return isAdmitted
     }
 
     /** Charges [tokens] that another VM admitted. */
--- a/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
+++ b/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
@@ -75,10 +75,18 @@
 
 /** Why a call gave no result. */
 public sealed class StoreError {
-    /** The store did nothing and says so: it is down, or refuses this VM for now. */
+    /**
+     * The store did nothing and says so: it is down, or refuses this VM for now.
+     *
+     * @property reason what it answered
+     */
     public data class Refused(public val reason: String) : StoreError()
 
-    /** No answer, or one that cannot be read; a write may have been done or may be done later. */
+    /**
+     * No answer, or one that cannot be read; a write may have been done or may be done later.
+     *
+     * @property reason what happened
+     */
     public data class Unknown(public val reason: String) : StoreError()
 
     /**
--- a/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
@@ -59,8 +59,8 @@
         dropLost(replicas, now)
         val outdated = replicas.filter { it.weights < target }
         val isUrgent = outdated.any { named.outdatedFor(model, it.weights, now) > URGENT_AGE }
-        if (!isUrgent && named.sinceNewest(model, now) < startDelay) return emptyList()
-        val free = atOnce(replicas.size) - underway.size
+        val isDue = isUrgent || named.sinceNewest(model, now) >= startDelay
+        val free = if (isDue) atOnce(replicas.size) - underway.size else 0
         return outdated
             .filter { it.id !in underway && (retryAt[it.id] ?: MonotonicTime.ZERO) <= now }
             .sortedWith(compareBy<RolloutReplica> { it.weights }.thenBy { it.load })
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.concurrent.ScheduledFuture
-import org.guavapath.core.fleet.Repeatability
 import org.guavapath.core.placement.ReplicaOutcome
 import org.guavapath.core.placement.ScoredReplica
 import org.guavapath.core.time.MonotonicTime
@@ -156,7 +155,10 @@
     private fun firstBytesLimit(): Duration = if (admitted.request.prompt == null) {
         PLAIN_LIMIT
     } else {
-        minOf(maxOf(choice.cost * EXPECTATION_FACTOR + FIRST_EVENT_SLACK, admitted.route.targetLatency), FIRST_EVENT_LIMIT)
+        minOf(
+            maxOf(choice.cost * EXPECTATION_FACTOR + FIRST_EVENT_SLACK, admitted.route.targetLatency),
+            FIRST_EVENT_LIMIT
+        )
     }
 
     /** A request that may run once goes only on connections that the replica surely holds open still. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -1,8 +1,8 @@
 package org.guavapath.daemon.gateway
 
 import io.netty.handler.codec.http.HttpHeaders
-import org.guavapath.core.fleet.ReplicaId
 import org.guavapath.core.fleet.Repeatability
+import org.guavapath.core.fleet.ReplicaId
 import org.guavapath.core.placement.PlacementRequest
 import org.guavapath.core.placement.PlacementResult
 import org.guavapath.core.results.DispatchCode
@@ -141,7 +141,10 @@
         context.log.attemptEnded(admitted, attempt, "failed with ${head.status}")
         when {
             head.status >= FIRST_FAULT_STATUS && isRepeatable(mayRun = true) -> place()
-            head.status in NOT_RUN_STATUSES -> giveUp(DispatchCode.OutcomeUnknown, "the endpoint answered ${head.status}")
+            head.status in NOT_RUN_STATUSES -> giveUp(
+                DispatchCode.OutcomeUnknown,
+                "the endpoint answered ${head.status}"
+            )
             else -> answer(head, attempt.headers)
         }
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewaySettings.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewaySettings.kt
@@ -67,7 +67,10 @@
     val repeatWindow: Duration get() = repeatWindowSeconds.seconds
 
     companion object {
-        private val name = Schema.Text(Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}"), "1 to 63 letters, digits, '.', '_', '-'")
+        private val name = Schema.Text(
+            Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}"),
+            "1 to 63 letters, digits, '.', '_', '-'"
+        )
         private val address = Schema.Text(Regex("[0-9.]+:[0-9]{1,5}"), "an IP number and a port, as 10.0.0.1:7000")
         private val secret = Schema.Text(Regex(".{16,256}"), "16 to 256 characters")
         private val count = Schema.WholeNumber(0, LARGEST_NUMBER)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Main.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Main.kt
@@ -52,7 +52,9 @@
         return
     }
     GatewaySettings.read(text).fold(
-        success = { next -> logger.info { if (next == before) "settings unchanged" else "settings changed; they hold from the next start" } },
+        success = { next -> logger.info {
+            if (next == before) "settings unchanged" else "settings changed; they hold from the next start"
+        } },
         failure = { faults -> logger.warn { "settings not reloaded: $faults" } },
     )
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
@@ -58,7 +58,12 @@
     /** Sends [to] this gateway's copy of a kind. */
     fun share(to: VmId, wanted: PeerMessage.ViewWanted) {
         val view = views.firstOrNull { it.kind.text == wanted.kind } ?: return
-        val objects = view.objects.mapValues { PeerMessage.SharedObject(it.value.revision.number, it.value.value.toString()) }
+        val objects = view.objects.mapValues {
+            PeerMessage.SharedObject(
+                it.value.revision.number,
+                it.value.value.toString()
+            )
+        }
         peers.send(to, PeerMessage.ViewContent(wanted.kind, view.asOf.number, objects))
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaList.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaList.kt
@@ -39,13 +39,22 @@
         return kept.isNotEmpty()
     }
 
-    private fun decode(name: String, stored: StoredObject): Replica? = ReplicaCodec.entry(name, stored.value).getOrElse {
+    private fun decode(name: String, stored: StoredObject): Replica? = ReplicaCodec.entry(
+        name,
+        stored.value
+    ).getOrElse {
         if (faults.put(name, it) != it) log.belief("replica entry ignored", "replica" to name, "error" to it)
         null
     }
 
     private fun logChanges(next: Map<ReplicaId, Replica>) {
-        (next.keys - listed.keys).forEach { log.belief("replica listed", "replica" to it.text, "address" to next[it]?.address) }
+        (next.keys - listed.keys).forEach {
+            log.belief(
+                "replica listed",
+                "replica" to it.text,
+                "address" to next[it]?.address
+            )
+        }
         (listed.keys - next.keys).forEach { log.belief("replica gone", "replica" to it.text) }
         next.values.filter { it.isDraining && listed[it.id]?.isDraining == false }
             .forEach { log.belief("replica draining", "replica" to it.id.text) }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
@@ -146,7 +146,12 @@
         report.weights[order.model]?.let { it >= order.target } ?: false
 
     private fun failed(order: WeightsOrder, reason: String): OrderOutcome {
-        log.belief("weights not loaded", "replica" to order.replica.text, "weights" to order.target.number, "reason" to reason)
+        log.belief(
+            "weights not loaded",
+            "replica" to order.replica.text,
+            "weights" to order.target.number,
+            "reason" to reason
+        )
         return OrderOutcome.FAILED
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -57,9 +57,19 @@
     suspend fun follow() {
         while (true) {
             if (asOf == Revision.NONE) {
-                store.list(kind).fold(success = { reached(); listed(it) }, failure = { failed(it) })
+                store.list(kind).fold(success = {
+                    reached();
+                    listed(it)
+                }, failure = { failed(it) })
             } else {
-                store.watch(kind, asOf, LONGEST_WATCH).fold(success = { reached(); watched(it) }, failure = { failed(it) })
+                store.watch(
+                    kind,
+                    asOf,
+                    LONGEST_WATCH
+                ).fold(success = {
+                    reached();
+                    watched(it)
+                }, failure = { failed(it) })
             }
         }
     }
