--- a/core/src/main/kotlin/org/guavapath/core/fleet/FleetConfiguration.kt
+++ b/core/src/main/kotlin/org/guavapath/core/fleet/FleetConfiguration.kt
@@ -7,6 +7,7 @@
 import org.guavapath.core.identity.FailureDomainName
 import org.guavapath.core.identity.KeyHash
 import org.guavapath.core.identity.ModelName
+import org.guavapath.core.identity.RequestId
 import org.guavapath.core.identity.WorkspaceName
 import kotlin.time.Duration
 
@@ -89,7 +90,18 @@
     public val replicaLimit: Int,
     public val isOpen: Boolean,
     public val carriesPrompt: Boolean,
-)
+) {
+    /** Returns the service for the request [id], by weight; the same request always gets the same one. */
+    public fun targetFor(id: RequestId): ServiceName? {
+        val total = targets.sumOf { it.weight }
+        var mark = if (total > 0) Math.floorMod(id.text.hashCode(), total) else 0
+        val marked = targets.firstOrNull {
+            mark -= it.weight
+            mark < 0
+        }
+        return (marked ?: targets.firstOrNull())?.service
+    }
+}
 
 /**
  * The engine that runs on each replica of a model service.
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AnswerWriter.kt
@@ -0,0 +1,87 @@
+package org.guavapath.daemon.gateway
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import org.guavapath.core.identity.RequestId
+import org.guavapath.daemon.pipeline.RESULT_HEADER
+import org.guavapath.daemon.pipeline.Refusal
+import org.guavapath.daemon.pipeline.errorBody
+import java.util.Locale
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/**
+ * Writes the answers of one caller's connection.
+ *
+ * @param isLast whether the connection ends after the answer under way
+ * @param onFinished called when an answer is written; true if the connection ends with it
+ */
+internal class AnswerWriter(
+    private val channel: Channel,
+    private val isLast: () -> Boolean,
+    private val onFinished: (Boolean) -> Unit,
+) : AnswerSink {
+    override val isWritable: Boolean get() = channel.isWritable
+
+    override fun whole(head: AnswerHead, body: ByteArray) {
+        val status = HttpResponseStatus.valueOf(head.status)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body))
+        fill(response, head)
+        HttpUtil.setContentLength(response, body.size.toLong())
+        finish(response)
+    }
+
+    override fun begin(head: AnswerHead) {
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
+        fill(response, head)
+        HttpUtil.setTransferEncodingChunked(response, true)
+        channel.write(response)
+    }
+
+    override fun piece(bytes: ByteArray) {
+        channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+    }
+
+    override fun end() = finish(DefaultLastHttpContent())
+
+    override fun abort() {
+        channel.close()
+    }
+
+    override fun refuse(refusal: Refusal, id: RequestId?) {
+        val headers = listOfNotNull(
+            "Content-Type" to "application/json",
+            RESULT_HEADER to refusal.code.number.toString(),
+            refusal.retryAfter?.let { "Retry-After" to secondsText(it) },
+        )
+        val body = errorBody(refusal, id?.text.orEmpty()).toString().toByteArray()
+        whole(AnswerHead(refusal.code.status.number, headers), body)
+    }
+
+    private fun fill(response: HttpResponse, head: AnswerHead) {
+        head.headers.forEach { (name, value) -> response.headers().add(name, value) }
+        if (isLast()) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    }
+
+    private fun finish(last: HttpObject) {
+        val endsConnection = isLast()
+        val written = channel.writeAndFlush(last)
+        if (endsConnection) written.addListener(ChannelFutureListener.CLOSE)
+        onFinished(endsConnection)
+    }
+
+    private fun secondsText(duration: Duration) =
+        String.format(Locale.ROOT, "%.3f", duration.toDouble(DurationUnit.SECONDS))
+}
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -1,41 +1,39 @@
 package org.guavapath.daemon.gateway
 
-import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.EmptyHttpHeaders
-import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaders
-import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
-import io.netty.util.concurrent.ScheduledFuture
 import org.guavapath.core.placement.ReplicaOutcome
 import org.guavapath.core.placement.ScoredReplica
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.platform.wire.ReplicaInstructions
+import org.guavapath.platform.wire.ReplyCodec
 import org.guavapath.platform.wire.ReplyHead
-import org.guavapath.platform.wire.RequestCodec
-import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What happens to an attempt, as its exchange hears it. */
-internal interface AttemptOwner {
+/** What came of an attempt. */
+internal sealed class AttemptEvent {
     /** No byte reached the replica. */
-    fun notSent(attempt: Attempt, reason: String)
+    class NotSent(val reason: String) : AttemptEvent()
 
-    /** The answer begins; it is for this request. */
-    fun head(attempt: Attempt, head: ReplyHead, headers: HttpHeaders)
+    /** The replica states that it did not run the request. */
+    class NotRun(val head: ReplyHead) : AttemptEvent()
 
-    fun body(attempt: Attempt, bytes: ByteArray)
+    /** A successful and signed answer begins. */
+    class Begun(val head: AnswerHead) : AttemptEvent()
 
-    fun complete(attempt: Attempt)
+    /** The next bytes of a successful answer. */
+    class Bytes(val bytes: ByteArray) : AttemptEvent()
 
-    fun broken(attempt: Attempt, reason: String)
+    /** The answer is whole; [rejection] is the body of an answer that is no success. */
+    class Whole(val head: ReplyHead, val answer: AnswerHead, val rejection: ByteArray) : AttemptEvent()
 
-    /** The replica has been silent for longer than expected. */
-    fun silent(attempt: Attempt)
+    /** The answer broke off, or is no answer to the request; the replica may have run it. */
+    class Broken(val reason: String) : AttemptEvent()
+
+    /** The replica has been silent for longer than expected; it may still answer. */
+    data object Silent : AttemptEvent()
 }
 
 /**
@@ -48,54 +46,48 @@
     private val context: ExchangeContext,
     private val admitted: AdmittedRequest,
     val choice: ScoredReplica,
-    private val resumeAfter: Long?,
-    private val owner: AttemptOwner,
+    private val tell: (Attempt, AttemptEvent) -> Unit,
 ) : ReplyListener {
     private val record = choice.record
-    private val unread = choice.missingTokens(admitted.request.prompt)
+    private val work = ReplicaWork(record, choice.missingTokens(admitted.request.prompt))
+    private val rejection = WholeBody()
     private var call: PooledCall? = null
-    private var isReading = true
     private var isOver = false
-    private var silence: ScheduledFuture<*>? = null
-
-    /** The head of the answer, null before it came. */
-    var head: ReplyHead? = null
-        private set
-    var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
-        private set
+    private val silence = SilenceWatch(context.loop) {
+        work.observe(ReplicaOutcome.SILENT)
+        tell(this, AttemptEvent.Silent)
+    }
+    private var head: ReplyHead? = null
+    private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
 
     /** Whether the exchange counted this attempt among those that may have run. */
     var isCountedAsRun = false
     val startedAt = MonotonicTime.now()
 
-    /** Sends the request; [timeLeft] is how long the replica may work on it. */
-    fun start(timeLeft: Duration, saveTo: String?) {
-        record.began(unread)
-        choice.path?.let { context.directory.record(it, record.entry.id, startedAt) }
-        watchSilence(firstBytesLimit())
-        call = context.pool.send(
+    /** Sends the request. */
+    fun start(instructions: ReplicaInstructions) {
+        choice.path?.let { context.fleet.directory.record(it, record.entry.id, startedAt) }
+        silence.within(firstBytesLimit())
+        val request = ReplicaRequest(
             record.entry,
-            request(timeLeft, saveTo),
+            ReplicaRequests.forward(admitted.incoming, instructions),
             admitted.request.id,
-            freshness(),
+            if (admitted.route.repeatability.mayRunAgain) REPEATABLE_FRESHNESS else ONCE_FRESHNESS,
             context.connectionsFor(admitted.service),
-            this,
         )
+        call = context.pool.send(request, this)
         if (isOver) call?.abandon()
     }
 
     /** Ends the attempt; the replica stops its work. */
-    fun cancel() {
-        if (isOver) return
-        over()
-        call?.abandon()
-    }
+    fun cancel() = end(outcome = null) { call?.abandon() }
 
     fun setReading(isReading: Boolean) {
         call?.setReading(isReading)
     }
 
-    override fun notSent(reason: String) = ending(ReplicaOutcome.SILENT) { owner.notSent(this, reason) }
+    override fun notSent(reason: String) =
+        end(ReplicaOutcome.SILENT) { tell(this, AttemptEvent.NotSent(reason)) }
 
     override fun head(head: ReplyHead, headers: HttpHeaders) {
         if (isOver) return
@@ -103,102 +95,48 @@
         this.headers = headers.copy()
         val model = admitted.request.prompt?.model
         if (model != null) head.weights?.let { record.sawWeights(model, it) }
-        owner.head(this, head, headers)
+        if (head.isRelayed) tell(this, AttemptEvent.Begun(answerHead(head, this.headers)))
     }
 
     override fun body(bytes: ByteArray) {
-        if (isOver) return
-        read()
-        watchSilence(PAUSE_LIMIT)
-        owner.body(this, bytes)
+        val answered = head
+        if (isOver || answered == null) return
+        work.promptRead()
+        silence.within(PAUSE_LIMIT)
+        if (answered.isRelayed) tell(this, AttemptEvent.Bytes(bytes)) else rejection.append(bytes)
     }
 
-    override fun complete() = ending(if (isFault()) ReplicaOutcome.FAILED else ReplicaOutcome.ANSWERED) {
-        owner.complete(this)
+    override fun complete() {
+        val answered = checkNotNull(head)
+        val event = when {
+            answered.isNotRun -> AttemptEvent.NotRun(answered)
+            answered.isSuccess && !answered.isSigned -> AttemptEvent.Broken("a success without a signature")
+            else -> AttemptEvent.Whole(answered, answerHead(answered, headers), rejection.bytes())
+        }
+        val outcome = when {
+            answered.isNotRun -> null
+            answered.status >= FIRST_FAULT_STATUS -> ReplicaOutcome.FAILED
+            else -> ReplicaOutcome.ANSWERED
+        }
+        end(outcome) { tell(this, event) }
     }
 
-    override fun broken(reason: String) = ending(ReplicaOutcome.FAILED) { owner.broken(this, reason) }
+    override fun broken(reason: String) = end(ReplicaOutcome.FAILED) { tell(this, AttemptEvent.Broken(reason)) }
 
-    private inline fun ending(outcome: ReplicaOutcome, tell: () -> Unit) {
+    private inline fun end(outcome: ReplicaOutcome?, then: () -> Unit) {
         if (isOver) return
-        over()
-        if (head?.isNotRun != true) record.health.observe(outcome, MonotonicTime.now())
-        tell()
-    }
-
-    private fun isFault() = head?.let { it.status >= FIRST_FAULT_STATUS && !it.isNotRun } ?: true
-
-    private fun read() {
-        if (!isReading) return
-        isReading = false
-        record.promptRead(unread)
-    }
-
-    private fun over() {
         isOver = true
-        silence?.cancel(false)
-        read()
-        record.ended()
-    }
-
-    private fun watchSilence(limit: Duration) {
-        silence?.cancel(false)
-        silence = context.loop.schedule({ becameSilent() }, limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        silence.stop()
+        work.over(outcome)
+        then()
     }
 
-    private fun becameSilent() {
-        if (isOver) return
-        record.health.observe(ReplicaOutcome.SILENT, MonotonicTime.now())
-        owner.silent(this)
+    private fun firstBytesLimit(): Duration {
+        if (admitted.request.prompt == null) return PLAIN_LIMIT
+        val expected = choice.cost * EXPECTATION_FACTOR + FIRST_EVENT_SLACK
+        return expected.coerceIn(minOf(admitted.route.targetLatency, FIRST_EVENT_LIMIT), FIRST_EVENT_LIMIT)
     }
 
-    private fun firstBytesLimit(): Duration = if (admitted.request.prompt == null) {
-        PLAIN_LIMIT
-    } else {
-        minOf(
-            maxOf(choice.cost * EXPECTATION_FACTOR + FIRST_EVENT_SLACK, admitted.route.targetLatency),
-            FIRST_EVENT_LIMIT
-        )
-    }
-
-    /** A request that may run once goes only on connections that the replica surely holds open still. */
-    private fun freshness(): Duration =
-        if (admitted.route.repeatability.mayRunAgain) REPEATABLE_FRESHNESS else ONCE_FRESHNESS
-
-    private fun request(timeLeft: Duration, saveTo: String?): FullHttpRequest {
-        val incoming = admitted.incoming
-        val headers = DefaultHttpHeaders()
-        RequestCodec.forReplica(incoming.headers, instructions(timeLeft, saveTo))
-            .forEach { (name, value) -> headers.add(name, value) }
-        val body = incoming.body
-        val request = DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            incoming.method,
-            incoming.target,
-            Unpooled.wrappedBuffer(body),
-            headers,
-            EmptyHttpHeaders.INSTANCE,
-        )
-        if (body.isNotEmpty() || incoming.headers.contains("Content-Length")) {
-            HttpUtil.setContentLength(request, body.size.toLong())
-        } else if (incoming.headers.contains("Transfer-Encoding")) {
-            HttpUtil.setContentLength(request, 0)
-        }
-        return request
-    }
-
-    private fun instructions(timeLeft: Duration, saveTo: String?) = ReplicaInstructions(
-        timeLeft = timeLeft,
-        workspace = admitted.workspace?.name,
-        replica = record.entry.id,
-        priority = admitted.workspace?.priority ?: admitted.route.priority,
-        weights = choice.weights,
-        salt = choice.path?.salt,
-        fetchFrom = choice.fetchFrom?.address,
-        saveTo = saveTo,
-        resumeAfter = resumeAfter,
-    )
-
     private companion object {
         const val FIRST_FAULT_STATUS = 500
 
@@ -211,6 +149,21 @@
         /** Twice the longest pause with which an answer is on time. */
         val PAUSE_LIMIT = 800.milliseconds
         val REPEATABLE_FRESHNESS = 10.seconds
+
+        /** A request that may run once goes only on connections that the replica surely holds open still. */
         val ONCE_FRESHNESS = 1.seconds
     }
 }
+
+/** Collects the body of an answer that is passed on whole. */
+internal class WholeBody {
+    private val collected = java.io.ByteArrayOutputStream()
+
+    fun append(bytes: ByteArray) = collected.write(bytes)
+
+    fun bytes(): ByteArray = collected.toByteArray()
+}
+
+private val ReplyHead.isRelayed: Boolean get() = isSuccess && isSigned
+
+private fun answerHead(head: ReplyHead, headers: HttpHeaders) = AnswerHead(head.status, ReplyCodec.forCaller(headers))
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -6,12 +6,8 @@
 import org.guavapath.core.fleet.FleetService
 import org.guavapath.core.fleet.FleetWorkspace
 import org.guavapath.core.fleet.ServiceName
-import org.guavapath.core.placement.Placement
-import org.guavapath.core.placement.PromptDirectory
-import org.guavapath.core.placement.ReplicaBook
-import org.guavapath.core.quota.FleetQuota
 import org.guavapath.core.quota.RepeatBudget
-import org.guavapath.core.weights.NamedWeights
+import org.guavapath.core.time.MonotonicTime
 
 /**
  * A request that passed all checks.
@@ -26,34 +22,36 @@
     val service: FleetService,
     val workspace: FleetWorkspace?,
     val charged: Long,
-)
+) {
+    /** When the answer is due: the caller's deadline or the route's timeout, whichever is first. */
+    val endAt: MonotonicTime = minOf(request.deadline, request.receivedAt + route.timeout)
+}
 
 /** What all exchanges of a gateway share; lives on the event loop. */
 internal class ExchangeContext(
     val loop: EventLoop,
     val pool: ReplicaPool,
-    val book: ReplicaBook,
-    val directory: PromptDirectory,
-    val weights: NamedWeights,
-    val placement: Placement,
-    val quota: FleetQuota,
-    val log: GatewayLog,
-    val metrics: GatewayMetrics,
+    val fleet: FleetState,
+    val records: GatewayRecords,
     private val settings: GatewaySettings,
     private val fleetSize: () -> Int,
 ) {
     private val budgets = HashMap<ServiceName, RepeatBudget>()
 
-    /** This VM's part of the repeats that the fleet may send beyond the ratio. */
-    val repeatSlack: Double get() = settings.repeatSlack / fleetSize()
+    /** Counts a request to [service] that is sent for the first time. */
+    fun countFirst(service: FleetService) = budget(service).countFirst(MonotonicTime.now())
 
-    fun budget(service: ServiceName): RepeatBudget =
-        budgets.getOrPut(service) { RepeatBudget(settings.repeatWindow, settings.repeatRatio) }
+    /** Takes a repeat from this VM's part of the fleet's budget, if it has one left. */
+    fun takeRepeat(service: FleetService): Boolean =
+        budget(service).takeRepeat(settings.repeatSlack / fleetSize(), MonotonicTime.now())
 
     /** This VM's part of the connections that one replica of [service] accepts. */
     fun connectionsFor(service: FleetService): Int =
         maxOf(FEWEST_CONNECTIONS, service.connectionLimit / fleetSize())
 
+    private fun budget(service: FleetService): RepeatBudget =
+        budgets.getOrPut(service.name) { RepeatBudget(settings.repeatWindow, settings.repeatRatio) }
+
     private companion object {
         const val FEWEST_CONNECTIONS = 4
     }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeSends.kt
@@ -0,0 +1,97 @@
+package org.guavapath.daemon.gateway
+
+import org.guavapath.core.dispatch.SendHistory
+import org.guavapath.core.fleet.ReplicaId
+import org.guavapath.core.placement.PlacementRequest
+import org.guavapath.core.placement.PlacementResult
+import org.guavapath.core.placement.ScoredReplica
+import org.guavapath.core.time.MonotonicTime
+import org.guavapath.platform.wire.ReplicaInstructions
+import org.guavapath.platform.wire.ReplyHead
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The replicas that one request was sent to, and the choice of the next. */
+internal class ExchangeSends(
+    private val context: ExchangeContext,
+    private val admitted: AdmittedRequest,
+    private val relay: AnswerRelay,
+    private val handle: (Attempt, AttemptEvent) -> Unit,
+) {
+    private val history = SendHistory(admitted.route.repeatability, admitted.route.replicaLimit)
+    private val tried = HashSet<ReplicaId>()
+
+    /** The attempt under way, or the last one. */
+    var current: Attempt? = null
+        private set
+    val sends: Int get() = history.sends
+    val isSurelyNotRun: Boolean get() = history.isSurelyNotRun
+
+    /** Sends the request to the best replica that was not tried yet; returns why there is none, null if it was sent. */
+    fun sendNext(): String? {
+        val owner = admitted.workspace?.takeIf { it.isIsolated }?.name
+        val wanted = PlacementRequest(admitted.service.name, admitted.request.prompt, owner, tried)
+        return when (val result = context.fleet.placement.choose(wanted, MonotonicTime.now())) {
+            is PlacementResult.NoReplica -> result.reason
+            is PlacementResult.Chosen -> {
+                send(result)
+                null
+            }
+        }
+    }
+
+    /**
+     * Returns whether the request may be sent again.
+     *
+     * @param wasArrival whether the attempt before reached its replica; it then draws on the fleet's budget
+     */
+    fun mayRepeat(wasArrival: Boolean): Boolean {
+        val hasTime = admitted.endAt - MonotonicTime.now() > LEAST_TIME_FOR_REPEAT
+        return history.allowsAnother && hasTime && (!wasArrival || context.takeRepeat(admitted.service))
+    }
+
+    /** A replica may have run the request; each attempt counts once. */
+    fun countRun(attempt: Attempt) {
+        if (!attempt.isCountedAsRun) history.mayHaveRun()
+        attempt.isCountedAsRun = true
+    }
+
+    /** Learns why a replica did not run the request: its weights differ, or another one has its address. */
+    fun misdirected(attempt: Attempt, head: ReplyHead) {
+        val record = attempt.choice.record
+        val model = admitted.request.prompt?.model
+        if (head.replica != null && head.replica != record.entry.id) {
+            record.loadingUntil = MonotonicTime.now() + WRONG_ADDRESS_PAUSE
+        } else if (model != null && head.weights == null) {
+            context.fleet.weights.newest(model)?.let { record.sawWeights(model, it) }
+        }
+    }
+
+    private fun send(result: PlacementResult.Chosen) {
+        history.sent()
+        tried.add(result.chosen.record.entry.id)
+        context.records.log.dispatched(admitted, result, history.sends)
+        relay.restart()
+        val attempt = Attempt(context, admitted, result.chosen, handle)
+        current = attempt
+        attempt.start(instructions(result.chosen))
+    }
+
+    private fun instructions(chosen: ScoredReplica) = ReplicaInstructions(
+        timeLeft = admitted.endAt - MonotonicTime.now(),
+        workspace = admitted.workspace?.name,
+        replica = chosen.record.entry.id,
+        priority = admitted.workspace?.priority ?: admitted.route.priority,
+        weights = chosen.weights,
+        salt = chosen.path?.salt,
+        fetchFrom = chosen.fetchFrom?.address,
+        saveTo = null,
+        resumeAfter = relay.resumeAfter,
+    )
+
+    private companion object {
+        val LEAST_TIME_FOR_REPEAT = 50.milliseconds
+
+        /** The list tells within two seconds who is at an address now. */
+        val WRONG_ADDRESS_PAUSE = 2000.milliseconds
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
@@ -0,0 +1,18 @@
+package org.guavapath.daemon.gateway
+
+import org.guavapath.core.identity.FailureDomainName
+import org.guavapath.core.placement.Placement
+import org.guavapath.core.placement.PromptDirectory
+import org.guavapath.core.placement.ReplicaBook
+import org.guavapath.core.quota.FleetQuota
+import org.guavapath.core.time.MonotonicTime
+import org.guavapath.core.weights.NamedWeights
+
+/** What this VM believes of the fleet; lives on the event loop. */
+internal class FleetState(domain: FailureDomainName, startedAt: MonotonicTime, isFirstStart: Boolean) {
+    val book = ReplicaBook()
+    val directory = PromptDirectory()
+    val weights = NamedWeights()
+    val quota = FleetQuota(startedAt, isFirstStart)
+    val placement = Placement(domain, book, directory, weights)
+}
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -89,3 +89,12 @@
         }
     }
 }
+
+/** The log and the metrics, which tell of the same endings. */
+internal class GatewayRecords(val log: GatewayLog, val metrics: GatewayMetrics) {
+    /** An admitted request ended. */
+    fun ended(admitted: AdmittedRequest, ending: Ending, sends: Int, firstEventAt: MonotonicTime?) {
+        log.ended(admitted, ending, sends, firstEventAt)
+        metrics.ended(ending.code, admitted, firstEventAt)
+    }
+}
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
@@ -9,6 +9,7 @@
 import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.toJavaDuration
 
 /** The gateway's counters and latency histograms, in the Prometheus text format. */
@@ -42,11 +43,14 @@
 
     private fun timer(name: String, tags: Tags): Timer = Timer.builder(name)
         .tags(tags)
-        .serviceLevelObjectives(*BOUNDS.map { it.toJavaDuration() }.toTypedArray())
+        .publishPercentileHistogram()
+        .minimumExpectedValue(FASTEST.toJavaDuration())
+        .maximumExpectedValue(SLOWEST.toJavaDuration())
         .register(registry)
 
     private companion object {
         /** From a plain answer to the longest deadline of the users' requests. */
-        val BOUNDS: List<Duration> = listOf(50, 100, 200, 400, 600, 800, 1_500, 3_000, 6_000, 12_000).map { it.milliseconds }
+        val FASTEST: Duration = 10.milliseconds
+        val SLOWEST: Duration = 12.seconds
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewaySettings.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewaySettings.kt
@@ -98,8 +98,7 @@
                 return Err(listOf(SchemaFault("$", exception.message.orEmpty(), "a JSON object")))
             }
             val faults = schema.faults(document, "$")
-            if (faults.isNotEmpty()) return Err(faults)
-            return Ok(Json.decodeFromJsonElement(serializer(), document))
+            return if (faults.isEmpty()) Ok(Json.decodeFromJsonElement(serializer(), document)) else Err(faults)
         }
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Main.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Main.kt
@@ -52,9 +52,10 @@
         return
     }
     GatewaySettings.read(text).fold(
-        success = { next -> logger.info {
-            if (next == before) "settings unchanged" else "settings changed; they hold from the next start"
-        } },
+        success = { next ->
+            val result = if (next == before) "unchanged" else "changed, in force at the next start"
+            logger.info { "settings $result" }
+        },
         failure = { faults -> logger.warn { "settings not reloaded: $faults" } },
     )
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
@@ -76,21 +76,22 @@
     suspend fun removeSilent(current: () -> Map<String, StoredObject>) {
         while (true) {
             delay(REMOVAL_INTERVAL)
-            val now = MonotonicTime.now()
-            val gone = heardAt.entries.firstOrNull { now - it.value > GONE_LIMIT }?.key ?: continue
             val isMine = others.keys.filter { isAlive(it) }.all { self < it }
-            val stored = current()[gone.text]
-            if (!isMine || stored == null) continue
-            val error = store.remove(MEMBERS, gone.text, stored.revision).fold(success = { null }, failure = { it })
-            log.belief("member removed", "vm" to gone.text, "error" to error?.toString())
+            val gone = heardAt.entries.firstOrNull { MonotonicTime.now() - it.value > GONE_LIMIT }?.key
+            if (isMine) current()[gone?.text]?.let { remove(it) }
         }
     }
 
+    private suspend fun remove(stored: StoredObject) {
+        val error = store.remove(KIND, stored.name, stored.revision).fold(success = { null }, failure = { it })
+        log.belief("member removed", "vm" to stored.name, "error" to error?.toString())
+    }
+
     /** Removes this gateway's entry before it ends. */
     suspend fun leave(current: () -> Map<String, StoredObject>) {
         isLeaving = true
         val stored = current()[self.text] ?: return
-        store.remove(MEMBERS, self.text, stored.revision).getOrElse {
+        store.remove(KIND, self.text, stored.revision).getOrElse {
             log.belief("member entry not removed", "error" to it.toString())
         }
     }
@@ -98,9 +99,9 @@
     private suspend fun register(present: StoredObject?) {
         val value = Json.encodeToJsonElement(MemberEntry.serializer(), entry)
         val written = if (present == null) {
-            store.create(MEMBERS, self.text, value)
+            store.create(KIND, self.text, value)
         } else {
-            store.replace(MEMBERS, self.text, value, present.revision)
+            store.replace(KIND, self.text, value, present.revision)
         }
         written.fold(
             success = { isRegistered = true },
@@ -124,7 +125,7 @@
 
     companion object {
         /** Entries of gateways. */
-        val MEMBERS = ObjectKind("guavapath-gateways")
+        val KIND = ObjectKind("guavapath-gateways")
         private val ALIVE_LIMIT = 1500.milliseconds
         private val UPKEEP_INTERVAL = 500.milliseconds
         private val REMOVAL_INTERVAL = 5.seconds
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
@@ -0,0 +1,54 @@
+package org.guavapath.daemon.gateway
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import org.guavapath.core.fleet.FleetConfiguration
+import org.guavapath.core.results.Invariant
+import org.guavapath.core.time.MonotonicTime
+import org.guavapath.platform.wire.ConfigurationCodec
+import org.guavapath.platform.wire.ReplicaCodec
+
+/** What the platform's operator has written: the configuration in force and the named weights. */
+internal class OperatorState(private val fleet: FleetState, private val log: GatewayLog) {
+    /** The configuration in force, null before the first. */
+    var configuration: FleetConfiguration? = null
+        private set
+
+    /** Puts the configuration of [view] in force if it is newer. */
+    fun configured(view: StoreView) {
+        val stored = view.objects[MAIN_CONFIGURATION] ?: return
+        ConfigurationCodec.decode(stored.value).fold(
+            success = { adopt(it) },
+            failure = { log.belief("configuration ignored", "revision" to stored.revision.number, "error" to it) },
+        )
+    }
+
+    /** Takes over the weights named in [view]. */
+    fun weightsNamed(view: StoreView) {
+        val now = MonotonicTime.now()
+        view.objects.values.forEach { stored ->
+            val naming = ReplicaCodec.naming(stored.value).getOrElse {
+                log.belief("weights naming ignored", "name" to stored.name, "error" to it)
+                null
+            }
+            if (naming != null && fleet.weights.name(naming.model, naming.number, now)) {
+                log.belief("weights named", "model" to naming.model.text, "weights" to naming.number.number)
+            }
+        }
+    }
+
+    private fun adopt(next: FleetConfiguration) {
+        val before = configuration
+        if (before != null && next.version <= before.version) return
+        Invariant.check("fleet-configuration-never-reverts", before == null || next.version > before.version) {
+            "${next.version} after ${before?.version}"
+        }
+        configuration = next
+        fleet.quota.configure(next.workspaces.orEmpty(), MonotonicTime.now())
+        log.belief("configuration in force", "version" to next.version.number, "former" to before?.version?.number)
+    }
+
+    private companion object {
+        const val MAIN_CONFIGURATION = "main"
+    }
+}
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
@@ -27,17 +27,17 @@
     private val peers: PeerSender,
     private val members: Members,
     private val lease: RolloutLease,
-) {
+) : RolloutPeers {
     private val served = HashMap<VmId, Boolean>()
     private val behindSince = HashMap<StoreView, MonotonicTime>()
 
     /** Tells the others this gateway's status, at once when it changes and now and then when it does not. */
-    suspend fun tellForever(incarnation: Incarnation, quota: FleetQuota, book: ReplicaBook) {
+    suspend fun tellForever(incarnation: Incarnation, fleet: FleetState) {
         var last: PeerMessage.FleetStatus? = null
         var quiet = 0
         while (true) {
             delay(INTERVAL)
-            val next = status(incarnation, quota, book)
+            val next = status(incarnation, fleet.quota, fleet.book)
             quiet = if (next == last) quiet + 1 else 0
             if (quiet % QUIET_INTERVALS == 0) peers.sendToAll(next)
             last = next
@@ -76,16 +76,19 @@
         view.adopt(Listing(objects, Revision(content.asOf)), from.text)
     }
 
-    /** Whether this gateway should hold the rollout lease: the present holder, or the first that the store serves. */
-    fun isRolloutCandidate(): Boolean {
-        val isServedHere = views.all { it.isServed }
+    /** The present holder is the candidate while it is fit, otherwise the first gateway that the store serves. */
+    override fun isRolloutCandidate(): Boolean {
         val holder = lease.known?.vm
-        if (!isServedHere) return false
-        if (holder == self) return true
-        if (holder != null && isFit(holder)) return false
-        return members.others.keys.filter { isFit(it) }.all { self < it }
+        val isServedHere = views.all { it.isServed }
+        return isServedHere && when {
+            holder == self -> true
+            holder != null && isFit(holder) -> false
+            else -> members.others.keys.filter { isFit(it) }.all { self < it }
+        }
     }
 
+    override fun tellAll(message: PeerMessage) = peers.sendToAll(message)
+
     private fun isFit(vm: VmId) = members.isAlive(vm) && served[vm] == true
 
     private fun catchUp(view: StoreView, from: VmId, theirs: Revision, now: MonotonicTime) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Reception.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Reception.kt
@@ -5,7 +5,6 @@
 import org.guavapath.core.fleet.FleetConfiguration
 import org.guavapath.core.fleet.FleetRequest
 import org.guavapath.core.fleet.FleetRoute
-import org.guavapath.core.fleet.FleetService
 import org.guavapath.core.fleet.FleetWorkspace
 import org.guavapath.core.identity.KeyHash
 import org.guavapath.core.identity.RequestId
@@ -23,21 +22,14 @@
 /** Takes requests from callers: checks form, route, key and limit in turn, and starts an exchange. */
 internal class Reception(
     private val context: ExchangeContext,
-    private val configuration: () -> FleetConfiguration?,
+    private val operator: OperatorState,
 ) : FrontDoor {
-    /** The reason to refuse a request, thrown from check to check within this class only. */
-    private class Refused(val refusal: Refusal) : Exception(refusal.detail, null, false, false)
-
     private val connections = HashSet<CallerConnection>()
 
-    /** Requests that are being served. */
-    var running = 0
-        private set
-
     override var isDraining = false
         private set
 
-    override val callerLimits: CallerLimits get() = configuration()?.callerLimits ?: LIMITS_AT_START
+    override val callerLimits: CallerLimits get() = operator.configuration?.callerLimits ?: LIMITS_AT_START
 
     override fun opened(connection: CallerConnection) {
         connections.add(connection)
@@ -69,13 +61,14 @@
     }
 
     private fun admit(request: IncomingRequest): AdmittedRequest {
-        val active = configuration() ?: refuse(Refusal(DispatchCode.NotConfigured, retryAfter = START_PAUSE))
+        val active = operator.configuration ?: refuse(Refusal(DispatchCode.NotConfigured, retryAfter = START_PAUSE))
         request.fault()?.let { refuse(Refusal(RequestCode.MalformedHttp, it)) }
         val route = active.route(request.host, request.path) ?: refuse(Refusal(RequestCode.RouteNotFound))
         val workspace = workspace(active, route, request)
         val decoded = RequestCodec.decode({ request.headers.get(it) }, request.receivedAt)
             .getOrElse { refuse(Refusal(RequestCode.InvalidRequest, it)) }
-        val service = service(active, route, decoded.id)
+        val service = route.targetFor(decoded.id)?.let { active.services[it] }
+            ?: refuse(Refusal(DispatchCode.NoEndpoint))
         val cost = workspace?.let { charge(it, decoded) } ?: 0
         return AdmittedRequest(request, decoded, route, service, workspace, cost)
     }
@@ -86,17 +79,6 @@
         return active.workspace(KeyHash.of(key)) ?: refuse(Refusal(IdentityCode.KeyUnknown))
     }
 
-    /** Spreads a route's requests over its services by weight; the same request always goes to the same. */
-    private fun service(active: FleetConfiguration, route: FleetRoute, id: RequestId): FleetService {
-        val total = route.targets.sumOf { it.weight }
-        var mark = if (total > 0) Math.floorMod(id.text.hashCode(), total) else 0
-        val target = route.targets.firstOrNull {
-            mark -= it.weight
-            mark < 0
-        } ?: route.targets.firstOrNull()
-        return target?.let { active.services[it.service] } ?: refuse(Refusal(DispatchCode.NoEndpoint))
-    }
-
     private fun charge(workspace: FleetWorkspace, request: FleetRequest): Long {
         val prompt = request.prompt
         val cost = when {
@@ -104,19 +86,17 @@
             prompt == null -> workspace.plainTokens
             else -> prompt.promptTokens + prompt.largestOutput
         }
-        return when (val verdict = context.quota.admit(workspace.name, cost, MonotonicTime.now())) {
+        return when (val verdict = context.fleet.quota.admit(workspace.name, cost, MonotonicTime.now())) {
             QuotaVerdict.Admitted -> cost
             is QuotaVerdict.Exhausted -> refuse(Refusal(LimitCode.RateExceeded, retryAfter = verdict.retryAfter))
         }
     }
 
-    private fun refuse(refusal: Refusal): Nothing = throw Refused(refusal)
-
     private fun refuse(refusal: Refusal, id: RequestId?, request: IncomingRequest, sink: AnswerSink) {
-        val active = configuration()
+        val active = operator.configuration
         val route = active?.route(request.host, request.path)?.name
-        context.log.refused(id, refusal, active?.version, route, workspace = null)
-        context.metrics.refused(refusal.code)
+        context.records.log.refused(id, refusal, active?.version, route, workspace = null)
+        context.records.metrics.refused(refusal.code)
         sink.refuse(refusal, id)
     }
 
@@ -131,3 +111,8 @@
         )
     }
 }
+
+/** The reason to refuse a request, thrown from the checks of [Reception] only. */
+private class Refused(val refusal: Refusal) : Exception(refusal.detail, null, false, false)
+
+private fun refuse(refusal: Refusal): Nothing = throw Refused(refusal)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaCalls.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaCalls.kt
@@ -3,14 +3,9 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeaders
-import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 import org.guavapath.core.fleet.Replica
@@ -47,23 +42,16 @@
         limit: Duration,
     ): Result<CallAnswer, CallFailure> {
         val answer = CompletableDeferred<Result<CallAnswer, CallFailure>>()
-        val request = request(replica, method, path, body)
-        val call = pool.send(replica, request, id = null, FRESHNESS, MOST_OPEN, Collector(answer))
+        val headers = DefaultHttpHeaders().set("Host", replica.address)
+        ReplicaCodec.callHeaders(replica.id).forEach { (name, value) -> headers.set(name, value) }
+        val http = ReplicaRequests.call(method, path, headers, body?.toByteArray())
+        val call = pool.send(ReplicaRequest(replica, http, id = null, FRESHNESS, MOST_OPEN), Collector(answer))
         return withTimeoutOrNull(limit) { answer.await() } ?: run {
             call.abandon()
             Err(CallFailure.NoAnswer("no answer within $limit"))
         }
     }
 
-    private fun request(replica: Replica, method: HttpMethod, path: String, body: String?): DefaultFullHttpRequest {
-        val headers = DefaultHttpHeaders().set("Host", replica.address)
-        ReplicaCodec.callHeaders(replica.id).forEach { (name, value) -> headers.set(name, value) }
-        val content = Unpooled.wrappedBuffer(body.orEmpty().toByteArray())
-        val trailers = EmptyHttpHeaders.INSTANCE
-        return DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, content, headers, trailers)
-            .also { if (body != null) HttpUtil.setContentLength(it, content.readableBytes().toLong()) }
-    }
-
     private class Collector(private val answer: CompletableDeferred<Result<CallAnswer, CallFailure>>) : ReplyListener {
         private val body = WholeBody()
         private var status = 0
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -58,6 +58,13 @@
     /** How long the replica lets the connection rest. */
     var restLimit = DEFAULT_REST
 
+    /** Whether bytes of the answer are read; not while the caller is slow to take them. */
+    var isReading: Boolean
+        get() = channel.config().isAutoRead
+        set(value) {
+            channel.config().isAutoRead = value
+        }
+
     val isOpen: Boolean get() = channel.isActive && listener == null && failure == null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
@@ -78,11 +85,6 @@
         channel.close()
     }
 
-    /** Stops or resumes reading while the caller is slow to take the answer. */
-    fun setReading(isReading: Boolean) {
-        channel.config().isAutoRead = isReading
-    }
-
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         val broken = message.decoderResult().cause()
         when {
@@ -120,14 +122,11 @@
         val answered = checkNotNull(head)
         listener = null
         head = null
-        setReading(true)
+        isReading = true
         if (mayBeKept && isWritten) onFree(this, answered) else channel.close()
         ended.complete()
     }
 
-    private fun isFramed(response: HttpResponse) =
-        HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
-
     private fun end(reason: String) {
         if (failure != null) return
         failure = reason
@@ -151,3 +150,7 @@
         val DEFAULT_REST = ReplicaPool.DEFAULT_REST
     }
 }
+
+/** Whether the answer says where it ends; otherwise it ends with its connection. */
+private fun isFramed(response: HttpResponse) =
+    HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaList.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaList.kt
@@ -3,8 +3,6 @@
 import com.github.michaelbull.result.getOrElse
 import org.guavapath.core.fleet.Replica
 import org.guavapath.core.fleet.ReplicaId
-import org.guavapath.core.placement.PromptDirectory
-import org.guavapath.core.placement.ReplicaBook
 import org.guavapath.core.store.StoredObject
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.platform.wire.ReplicaCodec
@@ -17,8 +15,7 @@
  * after an outage counts for a while longer.
  */
 internal class ReplicaList(
-    private val book: ReplicaBook,
-    private val directory: PromptDirectory,
+    private val fleet: FleetState,
     private val pool: ReplicaPool,
     private val log: GatewayLog,
 ) {
@@ -32,8 +29,8 @@
         val kept = if (isAfterOutage) listed.filterKeys { it !in present && it.text !in view.objects } else emptyMap()
         logChanges(present + kept)
         listed = present + kept
-        book.update(listed.values.toList()).forEach { lost ->
-            directory.forget(lost)
+        fleet.book.update(listed.values.toList()).forEach { lost ->
+            fleet.directory.forget(lost)
             pool.drop(lost)
         }
         return kept.isNotEmpty()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
@@ -6,13 +6,12 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponseDecoder
 import org.guavapath.core.fleet.Replica
 import org.guavapath.core.fleet.ReplicaId
-import org.guavapath.core.identity.RequestId
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.platform.wire.ReplyHead
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -29,7 +28,7 @@
     }
 
     fun setReading(isReading: Boolean) {
-        connection?.setReading(isReading)
+        connection?.isReading = isReading
     }
 
     /** Returns false if the call was given up before it had a connection. */
@@ -54,32 +53,21 @@
     var opened = 0L
         private set
 
-    /**
-     * Sends [request] to [replica] on a connection that rested for at most [freshness], or on a new one.
-     *
-     * @param mostOpen connections that this VM may have open to the replica
-     */
-    fun send(
-        replica: Replica,
-        request: FullHttpRequest,
-        id: RequestId?,
-        freshness: Duration,
-        mostOpen: Int,
-        listener: ReplyListener,
-    ): PooledCall {
+    /** Sends [request] on a connection that did not rest for too long, or on a new one. */
+    fun send(request: ReplicaRequest, listener: ReplyListener): PooledCall {
         val call = PooledCall()
-        val shelf = shelfOf(replica)
-        val free = takeFree(shelf, freshness)
+        val shelf = shelfOf(request.replica)
+        val free = takeFree(shelf, request.freshness)
         when {
             free != null -> {
                 call.attach(free)
-                free.send(request, id, listener)
+                free.send(request.http, request.id, listener)
             }
-            shelf.open >= mostOpen -> loop.execute {
-                request.release()
+            shelf.open >= request.mostOpen -> loop.execute {
+                request.http.release()
                 if (!call.wasAbandoned) listener.notSent("all ${shelf.open} connections to the replica are in use")
             }
-            else -> connect(shelf, replica, request, id, listener, call)
+            else -> connect(shelf, request, listener, call)
         }
         return call
     }
@@ -107,40 +95,37 @@
         return null
     }
 
-    private fun connect(
-        shelf: Shelf,
-        replica: Replica,
-        request: FullHttpRequest,
-        id: RequestId?,
-        listener: ReplyListener,
-        call: PooledCall,
-    ) {
+    private fun connect(shelf: Shelf, request: ReplicaRequest, listener: ReplyListener, call: PooledCall) {
         shelf.open += 1
         opened += 1
-        val connection = ReplicaConnection { connection, head ->
-            connection.freeSince = MonotonicTime.now()
-            connection.restLimit = head.keepAlive?.let { it - REST_MARGIN } ?: DEFAULT_REST
-            if (shelves[replica.id] === shelf) shelf.free.addLast(connection) else connection.abandon()
+        val connection = ReplicaConnection { connection, head -> keep(request.replica.id, shelf, connection, head) }
+        val address = SocketAddress.of(request.replica.address)
+        val connecting = bootstrap(connection).connect(address.host, address.port)
+        connecting.channel().closeFuture().addListener {
+            shelf.open -= 1
+            shelf.free.remove(connection)
         }
-        val address = SocketAddress.of(replica.address)
-        bootstrap(connection).connect(address.host, address.port).addListener { future ->
+        connecting.addListener { future ->
             when {
-                !future.isSuccess -> {
-                    request.release()
-                    if (!call.wasAbandoned) listener.notSent("no connection: ${future.cause()?.message}")
+                future.isSuccess && call.attach(connection) -> connection.send(request.http, request.id, listener)
+                future.isSuccess -> {
+                    request.http.release()
+                    connection.abandon()
                 }
-                call.attach(connection) -> connection.send(request, id, listener)
                 else -> {
-                    request.release()
-                    connection.abandon()
+                    request.http.release()
+                    if (!call.wasAbandoned) listener.notSent("no connection: ${future.cause()?.message}")
                 }
             }
-        }.channel().closeFuture().addListener {
-            shelf.open -= 1
-            shelf.free.remove(connection)
         }
     }
 
+    private fun keep(replica: ReplicaId, shelf: Shelf, connection: ReplicaConnection, head: ReplyHead) {
+        connection.freeSince = MonotonicTime.now()
+        connection.restLimit = head.keepAlive?.let { it - REST_MARGIN } ?: DEFAULT_REST
+        if (shelves[replica] === shelf) shelf.free.addLast(connection) else connection.abandon()
+    }
+
     private fun bootstrap(connection: ReplicaConnection): Bootstrap = Bootstrap()
         .group(loop)
         .channel(NioSocketChannel::class.java)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -28,8 +28,8 @@
 internal class StoreView(
     val kind: ObjectKind,
     private val store: ObjectStore,
-    private val pause: Duration,
     private val log: GatewayLog,
+    private val pause: Duration = DEFAULT_PAUSE,
     private val onChange: (StoreView) -> Unit,
 ) {
     private val held = LinkedHashMap<String, StoredObject>()
@@ -55,23 +55,7 @@
 
     /** Keeps the copy up to date until it is cancelled. */
     suspend fun follow() {
-        while (true) {
-            if (asOf == Revision.NONE) {
-                store.list(kind).fold(success = {
-                    reached();
-                    listed(it)
-                }, failure = { failed(it) })
-            } else {
-                store.watch(
-                    kind,
-                    asOf,
-                    LONGEST_WATCH
-                ).fold(success = {
-                    reached();
-                    watched(it)
-                }, failure = { failed(it) })
-            }
-        }
+        while (true) if (asOf == Revision.NONE) list() else watch()
     }
 
     /** Takes over a copy of another gateway if it is newer. */
@@ -81,11 +65,27 @@
         replace(listing)
     }
 
+    private suspend fun list() = store.list(kind).fold(
+        success = {
+            reached()
+            if (it.asOf >= asOf) replace(it)
+        },
+        failure = { failed(it) },
+    )
+
+    private suspend fun watch() = store.watch(kind, asOf, LONGEST_WATCH).fold(
+        success = {
+            reached()
+            watched(it)
+        },
+        failure = { failed(it) },
+    )
+
     private suspend fun watched(result: WatchResult) {
         when (result) {
             is WatchResult.HistoryGone -> {
                 log.belief("history gone", "kind" to kind.text, "revision" to asOf.number)
-                store.list(kind).fold(success = { listed(it) }, failure = { failed(it) })
+                list()
             }
             is WatchResult.Changes -> if (result.asOf > asOf) {
                 apply(result.changes, result.asOf)
@@ -94,10 +94,6 @@
         }
     }
 
-    private fun listed(listing: Listing) {
-        if (listing.asOf >= asOf) replace(listing)
-    }
-
     private fun replace(listing: Listing) {
         val isChanged = listing.objects != held || asOf == Revision.NONE
         held.clear()
@@ -134,6 +130,7 @@
     }
 
     private companion object {
+        val DEFAULT_PAUSE = 20.milliseconds
         val LONGEST_WATCH = 20.seconds
         val RETRY_PAUSE = 250.milliseconds
         val BLINK = 1.seconds
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
@@ -0,0 +1,116 @@
+package org.guavapath.daemon.gateway
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.guavapath.core.fleet.Replica
+import org.guavapath.core.weights.WeightsOrder
+import org.guavapath.platform.wire.OrderReply
+import org.guavapath.platform.wire.ReplicaCodec
+import org.guavapath.platform.wire.ReplicaReport
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** How an order to a replica went. */
+internal enum class LoadOutcome {
+    /** The replica has the weights. */
+    DONE,
+
+    /** The replica does not have them; the order may be given again. */
+    FAILED,
+
+    /** The replica has accepted an order with a higher fencing token. */
+    FENCED,
+}
+
+/** Orders one replica at a time to load weights and follows the load to its end. */
+internal class WeightsLoader(
+    private val holder: String,
+    private val lease: RolloutLease,
+    private val calls: ReplicaCalls,
+    private val log: GatewayLog,
+) {
+    /** Gives [order] to [replica] under [fencingToken]; [onOrder] is called right before it is sent. */
+    suspend fun load(order: WeightsOrder, replica: Replica, fencingToken: Long, onOrder: () -> Unit): LoadOutcome {
+        val before = report(replica)
+        val obstacle = when {
+            before == null -> "no report"
+            before.isLoading -> "another order is in progress"
+            !lease.isFresh() -> "the lease was not confirmed lately"
+            else -> null
+        }
+        return when {
+            before != null && hasTarget(before, order) -> LoadOutcome.DONE
+            before == null || obstacle != null -> {
+                log.belief("weights not ordered", "replica" to replica.id.text, "reason" to obstacle)
+                LoadOutcome.FAILED
+            }
+            else -> {
+                onOrder()
+                carriedOut(give(order, replica, fencingToken, before.acceptedOrders), order, replica)
+            }
+        }
+    }
+
+    private suspend fun carriedOut(reply: OrderReply?, order: WeightsOrder, replica: Replica) = when (reply) {
+        OrderReply.DONE -> LoadOutcome.DONE
+        OrderReply.ACCEPTED, null -> awaitTarget(order, replica)
+        OrderReply.FENCED -> LoadOutcome.FENCED
+        OrderReply.BUSY, OrderReply.REFUSED -> LoadOutcome.FAILED
+    }
+
+    private suspend fun give(order: WeightsOrder, replica: Replica, token: Long, acceptedOrders: Long): OrderReply? {
+        val body = ReplicaCodec.orderBody(order, holder, token, acceptedOrders)
+        val reply = calls.order(replica, body, ORDER_LIMIT).get()?.let { ReplicaCodec.orderReply(it.status) }
+        log.belief(
+            "weights ordered",
+            "replica" to replica.id.text,
+            "weights" to order.target.number,
+            "token" to token,
+            "acceptedOrders" to acceptedOrders,
+            "reply" to (reply?.name ?: "none"),
+        )
+        return reply
+    }
+
+    private suspend fun awaitTarget(order: WeightsOrder, replica: Replica): LoadOutcome {
+        val isDone = withTimeoutOrNull(LOAD_LIMIT) {
+            var idleReports = 0
+            var isLoaded = false
+            while (!isLoaded && idleReports <= MOST_IDLE_REPORTS) {
+                delay(POLL_INTERVAL)
+                val report = report(replica)
+                isLoaded = report != null && hasTarget(report, order) && !report.isLoading
+                if (report != null) idleReports = if (report.isLoading) 0 else idleReports + 1
+            }
+            isLoaded
+        }
+        if (isDone == true) return LoadOutcome.DONE
+        log.belief("weights not loaded", "replica" to replica.id.text, "weights" to order.target.number)
+        return LoadOutcome.FAILED
+    }
+
+    private suspend fun report(replica: Replica): ReplicaReport? {
+        val answer = calls.report(replica, REPORT_LIMIT).get() ?: return null
+        return ReplicaCodec.report(answer.body).getOrElse {
+            log.belief("report not readable", "replica" to replica.id.text, "error" to it)
+            null
+        }
+    }
+
+    private fun hasTarget(report: ReplicaReport, order: WeightsOrder) =
+        report.weights[order.model]?.let { it >= order.target } ?: false
+
+    companion object {
+        private val REPORT_LIMIT = 500.milliseconds
+        private val ORDER_LIMIT = 600.milliseconds
+
+        /** Reports lag by 100 ms; a load takes 210 ms after the last run has ended. */
+        private val POLL_INTERVAL = 120.milliseconds
+
+        /** Runs under way end within a second or so; a load takes a fraction of one. */
+        val LOAD_LIMIT = 2.seconds
+        private const val MOST_IDLE_REPORTS = 3
+    }
+}
