Gateway: a lost replica no longer ends the watch; no new connections late in a shutdown

The listener closes once the platform has had time to see that the VM is not ready. Ruled out: a crash of the replica. ReplicaPoolTest fails before the first change and passes after it. Failures of tasks are logged now.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerConnection.kt
@@ -53,7 +53,7 @@
 
     override fun channelActive(context: ChannelHandlerContext) {
         channel = context.channel()
-        writer = AnswerWriter(channel, { isClosing || door.isDraining || serving?.keepsConnection == false }, ::finished)
+        writer = AnswerWriter(channel, ::endsConnection, ::finished)
         door.opened(this)
         watchRest()
     }
@@ -94,6 +94,8 @@
         if (serving == null) writer.refuse(refusal, id = null)
     }
 
+    private fun endsConnection() = isClosing || door.isDraining || serving?.keepsConnection == false
+
     private fun finished(endsConnection: Boolean) {
         serving = null
         exchange = null
@@ -112,11 +114,6 @@
         door.closed(this)
     }
 
-    @Deprecated("Deprecated in Netty for outbound handlers only")
-    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        context.close()
-    }
-
     /** Ends the connection when it rested too long, or when a request arrives too slowly. */
     private fun watchRest() {
         if (!channel.isOpen) return
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -1,6 +1,7 @@
 /** Wires the parts of a gateway together and runs them from start to graceful shutdown. */
 package org.guavapath.daemon.gateway
 
+import io.netty.channel.Channel
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -30,9 +31,9 @@
     private val incarnation = Incarnation(System.currentTimeMillis())
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next() as EventLoop
-    private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher())
     private val records = GatewayRecords(GatewayLog(), GatewayMetrics())
     private val log = records.log
+    private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher() + log.taskFailures())
     private val fleet = FleetState(settings.failureDomain, MonotonicTime.now(), settings.isFirstStart)
     private val operator = OperatorState(fleet, log)
     private val pool = ReplicaPool(loop)
@@ -58,6 +59,8 @@
         operator,
     )
 
+    private var front: Channel? = null
+
     /** Starts everything. */
     fun start() {
         log.belief("started", "vm" to settings.vm.text, "incarnation" to incarnation.number, "settings" to shown())
@@ -69,7 +72,7 @@
         scope.launch { members.removeSilent { membersView.objects } }
         scope.launch { exchange.tellForever(incarnation, fleet) }
         scope.launch { rollout.run(scope) }
-        FrontServer(group, reception).start(SocketAddress.of(settings.callers))
+        front = FrontServer(group, reception).start(SocketAddress.of(settings.callers))
         ReadinessServer(group, ::isReady, records.metrics::text).start(SocketAddress.of(settings.readiness))
     }
 
@@ -103,9 +106,13 @@
 
     override suspend fun linked(peer: VmId) = log.belief("peer linked", "peer" to peer.text)
 
-    /** Callers keep coming until the platform has seen twice that this VM is not ready; then idle connections end. */
+    /**
+     * Callers keep coming until the platform has seen twice that this VM is not ready. Then no new connection is
+     * taken, so that what was taken has time to end, and idle connections are closed.
+     */
     private suspend fun awaitCallers() {
         delay(LEAVING_PAUSE)
+        front?.close()
         while (reception.closeIdle() > 0) delay(DRAIN_POLL)
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -1,6 +1,7 @@
 package org.guavapath.daemon.gateway
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineExceptionHandler
 import org.guavapath.core.fleet.FleetRequest
 import org.guavapath.core.fleet.FleetVersion
 import org.guavapath.core.identity.RequestId
@@ -80,6 +81,11 @@
     /** What this VM believes has changed, or a dependency was lost or regained. */
     fun belief(message: String, vararg fields: Pair<String, Any?>) = line(message, *fields)
 
+    /** Returns a handler that logs the failure of a task, which ends that task alone. */
+    fun taskFailures(): CoroutineExceptionHandler = CoroutineExceptionHandler { _, failure ->
+        logger.error(failure) { "a task failed" }
+    }
+
     private fun since(request: FleetRequest, time: MonotonicTime) = (time - request.receivedAt).inWholeMilliseconds
 
     private fun line(message: String, vararg fields: Pair<String, Any?>) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
@@ -74,7 +74,8 @@
 
     /** Closes the free connections to [replica], which is gone. */
     fun drop(replica: ReplicaId) {
-        shelves.remove(replica)?.free?.forEach { it.abandon() }
+        val free = shelves.remove(replica)?.free?.toList().orEmpty()
+        free.forEach { it.abandon() }
     }
 
     private fun shelfOf(replica: Replica): Shelf {
--- /dev/null
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
@@ -0,0 +1,133 @@
+package org.guavapath.daemon.gateway
+
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import org.guavapath.core.fleet.Replica
+import org.guavapath.core.fleet.ReplicaId
+import org.guavapath.core.fleet.ServiceName
+import org.guavapath.core.identity.FailureDomainName
+import org.guavapath.core.identity.RequestId
+import org.guavapath.platform.wire.ReplyHead
+import java.net.ServerSocket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+private const val MOST_OPEN = 10
+
+class ReplicaPoolTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next() as EventLoop
+    private val pool = ReplicaPool(loop)
+    private val server = ServerSocket(0)
+    private val replica = Replica(
+        ReplicaId("replica"),
+        bornAt = 0,
+        ServiceName("service"),
+        "127.0.0.1:${server.localPort}",
+        FailureDomainName("domain"),
+        slots = 1,
+        isDraining = false,
+        warmUpLeft = Duration.ZERO,
+        weights = emptyMap(),
+    )
+
+    private class Heard : ReplyListener {
+        val result = CompletableFuture<String>()
+        private val body = WholeBody()
+
+        override fun notSent(reason: String) = tell("not sent")
+
+        override fun head(head: ReplyHead, headers: HttpHeaders) = Unit
+
+        override fun body(bytes: ByteArray) = body.append(bytes)
+
+        override fun complete() = tell(body.bytes().toString(Charsets.UTF_8))
+
+        override fun broken(reason: String) = tell("broken")
+
+        fun await(): String = result.get(5, TimeUnit.SECONDS)
+
+        private fun tell(text: String) {
+            result.complete(text)
+        }
+    }
+
+    @AfterTest
+    fun stop() {
+        server.close()
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+    }
+
+    /** Answers each request on each connection with what [answer] returns for its identity. */
+    private fun serve(answer: (String) -> String) = thread(isDaemon = true) {
+        while (!server.isClosed) {
+            val socket = runCatching { server.accept() }.getOrNull() ?: break
+            thread(isDaemon = true) {
+                val input = socket.getInputStream().bufferedReader()
+                while (true) {
+                    val lines = generateSequence { input.readLine()?.takeIf { it.isNotEmpty() } }.toList()
+                    if (lines.isEmpty()) break
+                    val id = lines.first { it.startsWith("Attempt-Id") }.substringAfter(": ")
+                    val text = answer(id)
+                    socket.getOutputStream().write(text.removeSuffix(CLOSE).toByteArray())
+                    if (text.endsWith(CLOSE)) {
+                        socket.close()
+                        break
+                    }
+                }
+            }
+        }
+    }
+
+    private fun send(id: String): Heard {
+        val heard = Heard()
+        val http = ReplicaRequests.call(HttpMethod.GET, "/", DefaultHttpHeaders().set("Attempt-Id", id), body = null)
+        loop.execute { pool.send(ReplicaRequest(replica, http, RequestId(id), 5.seconds, MOST_OPEN), heard) }
+        return heard
+    }
+
+    private fun whole(id: String) = "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: ${id.length}\r\n\r\n$id"
+
+    @Test
+    fun aReplicaThatIsGoneLosesAllItsFreeConnections() {
+        serve { whole(it) }
+        val ids = listOf("a", "b", "c")
+        assertEquals(ids, ids.map { send(it) }.toList().map { it.await() })
+        loop.submit { pool.drop(replica.id) }.get(5, TimeUnit.SECONDS)
+        assertEquals("d", send("d").await())
+    }
+
+    @Test
+    fun answersThatAreNotTheRequestsOwnAreNotPassedOn() {
+        val cases = listOf(
+            Triple("a whole answer", { id: String -> whole(id) }, "second"),
+            Triple("a second answer behind the first", { id: String -> whole(id) + whole("other") }, "second"),
+            Triple("an earlier answer comes late", { id: String -> whole("other") + whole(id) }, "second"),
+            Triple("no identity", { _: String -> "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx$CLOSE" }, "broken"),
+            Triple("cut short", { id: String -> whole(id).dropLast(1) + CLOSE }, "broken"),
+            Triple("no HTTP", { _: String -> "rubbish\r\n\r\n$CLOSE" }, "broken"),
+        )
+        var behaviour: (String) -> String = { whole(it) }
+        serve { behaviour(it) }
+        cases.forEach { (name, answer, expected) ->
+            behaviour = answer
+            send("first").await()
+            assertEquals(expected, send("second").await(), name)
+        }
+    }
+
+    private companion object {
+        /** Ends an answer after which the stand-in closes the connection. */
+        const val CLOSE = "\u0000"
+    }
+}
