--- a/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -7,7 +7,6 @@
  */
 package org.guavapath.core.placement
 
-import com.dynatrace.hash4j.hashing.Hashing
 import org.guavapath.core.fleet.PromptShape
 import org.guavapath.core.fleet.Replica
 import org.guavapath.core.fleet.ReplicaId
@@ -15,7 +14,6 @@
 import org.guavapath.core.fleet.WeightsNumber
 import org.guavapath.core.identity.FailureDomainName
 import org.guavapath.core.identity.WorkspaceName
-import org.guavapath.core.routing.CacheSalt
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.core.weights.NamedWeights
 import kotlin.time.Duration
@@ -125,16 +123,19 @@
             return ScoredReplica(record, cost, heldTokens = 0, fetchFrom = null, path = null, weights = null)
         }
         val number = record.weights(prompt.model)
-        val path = PromptPath.of(saltOf(request, number), prompt.parts)
-        val held = directory.heldTokens(path, record.entry.id, now)
-        val holder = directory.bestHolder(path, holders - record.entry.id, now)
-            ?.takeIf { it.second > held + FEWEST_FETCHED }
+        val path = PromptPath.of(cacheSalt(request.cacheOwner, prompt.model, number), prompt.parts)
+        val own = record.entry.id
+        val held = directory.heldTokens(path, own, now)
+        val holder = directory.bestHolder(path, holders - own, now)?.takeIf { it.second > held + FEWEST_FETCHED }
         val fetched = holder?.let { it.second - held } ?: 0
         val missing = maxOf(0, prompt.promptTokens - held - fetched)
+        val isShared = held + fetched >= path.sharedTokens
+        val home = if (isShared) null else directory.home(path, holders)
         val cost = penalty + staleness(prompt, number, now) + batch(load, record.entry.slots) +
             READ_TIME * (load.promptTokens + missing).toDouble() + FETCH_TIME * fetched +
-            affinity(path, record.entry, held + fetched)
-        return ScoredReplica(record, cost, held, holder?.let { book[it.first]?.entry }, path, number)
+            (if (home == null || home == own) Duration.ZERO else AWAY_FROM_HOME)
+        val source = holder?.first ?: home?.takeIf { it != own }
+        return ScoredReplica(record, cost, held, source?.let { book[it]?.entry }, path, number)
     }
 
     private fun penalty(record: ReplicaRecord): Duration {
@@ -150,18 +151,6 @@
     private fun batch(load: ReplicaLoad, slots: Int): Duration =
         STEP_TIME * load.requests + (if (load.requests >= slots) FULL_BATCH else Duration.ZERO)
 
-    /** Where nobody holds the shared part, all VMs prefer the same replica of their failure domain. */
-    private fun affinity(path: PromptPath, replica: Replica, known: Int): Duration {
-        val step = path.sharedStep
-        if (known > 0 || step == null) return Duration.ZERO
-        val hasher = Hashing.xxh3_64()
-        val rank = hasher.hashLongLongToLong(step.bits, hasher.hashCharsToLong(replica.id.text)) ushr RANK_SHIFT
-        return AFFINITY * (rank.toDouble() / RANK_RANGE)
-    }
-
-    private fun saltOf(request: PlacementRequest, number: WeightsNumber?): CacheSalt =
-        cacheSalt(request.cacheOwner, checkNotNull(request.prompt).model, number)
-
     private companion object {
         /** An engine reads 85.2 tokens of a prompt in a millisecond. */
         val READ_TIME = (1.0 / 85.2).milliseconds
@@ -188,8 +177,11 @@
 
         /** A fetch has a fixed cost of about a millisecond; fewer tokens are read as fast. */
         const val FEWEST_FETCHED = 200
-        val AFFINITY = 10.milliseconds
-        const val RANK_SHIFT = 40
-        const val RANK_RANGE = (1L shl 24).toDouble()
+
+        /**
+         * A shared part that is read twice costs the fleet more than its request is worth; the first
+         * requests go to one replica unless that is busier than the others by this much.
+         */
+        val AWAY_FROM_HOME = 150.milliseconds
     }
 }
--- a/core/src/main/kotlin/org/guavapath/core/placement/PromptPath.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/PromptPath.kt
@@ -17,8 +17,11 @@
     public val steps: List<BlockHash>,
     public val tokensUpTo: List<Int>,
 ) {
-    /** The step that requests with the same beginning share: all parts but the last, which is the request's own. */
-    public val sharedStep: BlockHash? get() = if (steps.size > 1) steps[steps.size - 2] else steps.firstOrNull()
+    /** The steps that other requests may share: all but the last, which is the request's own. */
+    public val sharedSteps: List<BlockHash> get() = steps.dropLast(1)
+
+    /** Tokens of the shared steps. */
+    public val sharedTokens: Int get() = if (steps.size > 1) tokensUpTo[steps.size - 2] else 0
 
     /** Makes paths. */
     public companion object {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -13,8 +13,10 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import org.guavapath.core.fleet.ReplicaId
 import org.guavapath.core.identity.Incarnation
 import org.guavapath.core.identity.VmId
+import org.guavapath.core.routing.BlockHash
 import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.peers.PeerHandshake
@@ -71,6 +73,7 @@
         scope.launch { members.keepRegistered { membersView.objects } }
         scope.launch { members.removeSilent { membersView.objects } }
         scope.launch { exchange.tellForever(incarnation, fleet) }
+        scope.launch { exchange.tellPromptsForever(fleet) }
         scope.launch { rollout.run(scope) }
         front = FrontServer(group, reception).start(SocketAddress.of(settings.callers))
         ReadinessServer(group, ::isReady, records.metrics::text).start(SocketAddress.of(settings.readiness))
@@ -96,6 +99,7 @@
                 fleet.quota.report(from, message.incarnation, message.usage, MonotonicTime.now())
                 exchange.heard(from, message, fleet.book)
             }
+            is PeerMessage.PromptsRead -> promptsRead(message)
             is PeerMessage.ViewWanted -> exchange.share(from, message)
             is PeerMessage.ViewContent -> exchange.adopt(from, message)
             is PeerMessage.ReplicaLoading -> rollout.loading(message)
@@ -104,6 +108,13 @@
         }
     }
 
+    private fun promptsRead(message: PeerMessage.PromptsRead) {
+        val now = MonotonicTime.now()
+        message.steps.forEach { (replica, steps) ->
+            steps.forEach { fleet.directory.record(BlockHash(it), ReplicaId(replica), now) }
+        }
+    }
+
     override suspend fun linked(peer: VmId) = log.belief("peer linked", "peer" to peer.text)
 
     /**
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
@@ -44,6 +44,17 @@
         }
     }
 
+    /** Tells the others which replicas read which shared parts of prompts. */
+    suspend fun tellPromptsForever(fleet: FleetState) {
+        while (true) {
+            delay(PROMPT_INTERVAL)
+            val news = fleet.directory.takeNews()
+            if (news.isEmpty()) continue
+            val byReplica = news.entries.groupBy({ it.value.text }, { it.key.bits })
+            peers.sendToAll(PeerMessage.PromptsRead(byReplica))
+        }
+    }
+
     /** Takes over what [from] tells about itself. */
     fun heard(from: VmId, status: PeerMessage.FleetStatus, book: ReplicaBook) {
         val now = MonotonicTime.now()
@@ -113,6 +124,8 @@
     )
 
     private companion object {
+        /** Requests with the same beginning often come within a second of each other. */
+        val PROMPT_INTERVAL = 50.milliseconds
         val INTERVAL = 250.milliseconds
 
         /** An unchanged status is told once in a while, as a sign of life. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -101,6 +101,10 @@
     @Serializable
     data class SharedObject(val revision: Long, val json: String)
 
+    /** Replicas were sent prompts; [steps] are hashes of the shared beginnings by replica. */
+    @Serializable
+    data class PromptsRead(val steps: Map<String, List<Long>>) : OfFleet()
+
     /** The replica loads weights for up to [milliseconds] and should get no requests meanwhile. */
     @Serializable
     data class ReplicaLoading(val replica: String, val milliseconds: Long) : OfFleet()
