--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Main.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Main.kt
@@ -14,23 +14,33 @@
 import kotlin.system.exitProcess
 
 private const val EXIT_WRONG_SETTINGS = 2
+private const val EXIT_REHEARSAL_FAILED = 3
 private const val SETTINGS_VARIABLE = "GUAVAPATH_SETTINGS"
 
 /**
  * Runs `guavapath-gateway [--settings FILE] [--check]`. Without a file, GUAVAPATH_SETTINGS names it.
+ * `--rehearse` runs a gateway on loopback for a moment, with samples in place of the platform.
  * Wrong settings end it with exit status 2.
  */
 public fun main(arguments: Array<String>) {
     val parser = ArgParser("guavapath-gateway")
     val file by parser.option(ArgType.String, "settings", description = "JSON file of settings")
     val isCheck by parser.option(ArgType.Boolean, "check", description = "check the settings and end")
+    val isRehearsal by parser.option(ArgType.Boolean, "rehearse", description = "run on samples for a moment")
     parser.parse(arguments)
+    if (isRehearsal == true) rehearse()
     val path = file ?: System.getenv(SETTINGS_VARIABLE) ?: fail(listOf("no settings: --settings or $SETTINGS_VARIABLE"))
     val settings = read(path)
     if (isCheck == true) return
     run(settings, path)
 }
 
+private fun rehearse(): Nothing {
+    val answered = Rehearsal().run()
+    println("rehearsal: $answered requests answered")
+    exitProcess(if (answered > 0) 0 else EXIT_REHEARSAL_FAILED)
+}
+
 private fun run(settings: GatewaySettings, path: String) {
     val gateway = Gateway(settings, ObjectStoreClient(settings.store))
     val ended = CountDownLatch(1)
