--- a/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
@@ -4,6 +4,7 @@
 import org.guavapath.core.fleet.WeightsNumber
 import org.guavapath.core.identity.ModelName
 import org.guavapath.core.time.MonotonicTime
+import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -80,8 +81,8 @@
         retryAt.keys.retainAll(present)
     }
 
-    /** Loads at once: two on small services, where more slow each other down, and a quarter of large ones. */
-    private fun atOnce(replicas: Int): Int = maxOf(LEAST_AT_ONCE, replicas / REPLICAS_FOR_EACH_LOAD)
+    /** The other replicas carry the traffic meanwhile, and many loads at once slow each other down. */
+    private fun atOnce(replicas: Int): Int = ceil(replicas * SHARE_AT_ONCE).toInt()
 
     private companion object {
         /** Requests may begin on the former weights for 1.5 s at no loss; loading 8 replicas takes about 2 s. */
@@ -89,11 +90,10 @@
 
         /** Half of the six seconds after which the former weights must not be used any more. */
         val URGENT_AGE = 2500.milliseconds
-        val RETRY_PAUSE = 300.milliseconds
+        val RETRY_PAUSE = 100.milliseconds
 
         /** A run of the longest stream and the load itself take less than two seconds. */
         val LONGEST_ORDER = 4.seconds
-        const val LEAST_AT_ONCE = 2
-        const val REPLICAS_FOR_EACH_LOAD = 4
+        const val SHARE_AT_ONCE = 0.28
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
@@ -104,13 +104,14 @@
 
     companion object {
         private val REPORT_LIMIT = 500.milliseconds
-        private val ORDER_LIMIT = 600.milliseconds
+        /** Replicas answer in milliseconds; an order without an answer is given again, as it may be carried out late. */
+        private val ORDER_LIMIT = 200.milliseconds
 
         /** Reports lag by 100 ms; a load takes 210 ms after the last run has ended. */
         private val POLL_INTERVAL = 120.milliseconds
 
         /** Runs under way end within a second or so; a load takes a fraction of one. */
         val LOAD_LIMIT = 2.seconds
-        private const val MOST_IDLE_REPORTS = 3
+        private const val MOST_IDLE_REPORTS = 1
     }
 }
