--- a/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -40,6 +40,7 @@
  *
  * @property record the replica
  * @property cost expected time to the first event with all penalties
+ * @property expected expected time to the first event
  * @property heldTokens tokens at the prompt's beginning that it holds
  * @property fetchFrom a replica to fetch more of the prompt from, null if reading is as fast
  * @property path the prompt's path under the replica's weights, null for plain requests
@@ -48,6 +49,7 @@
 public data class ScoredReplica(
     public val record: ReplicaRecord,
     public val cost: Duration,
+    public val expected: Duration,
     public val heldTokens: Int,
     public val fetchFrom: Replica?,
     public val path: PromptPath?,
@@ -119,8 +121,8 @@
         val penalty = penalty(record)
         val load = record.load(now)
         if (prompt == null) {
-            val cost = penalty + PLAIN_WORK * load.requests / maxOf(1, record.entry.slots)
-            return ScoredReplica(record, cost, heldTokens = 0, fetchFrom = null, path = null, weights = null)
+            val expected = PLAIN_WORK * load.requests / maxOf(1, record.entry.slots)
+            return ScoredReplica(record, penalty + expected, expected, heldTokens = 0, fetchFrom = null, path = null, weights = null)
         }
         val number = record.weights(prompt.model)
         val path = PromptPath.of(cacheSalt(request.cacheOwner, prompt.model, number), prompt.parts)
@@ -131,11 +133,12 @@
         val missing = maxOf(0, prompt.promptTokens - held - fetched)
         val isShared = held + fetched >= path.sharedTokens
         val home = if (isShared) null else directory.home(path, holders)
-        val cost = penalty + staleness(prompt, number, now) + batch(load, record.entry.slots) +
-            READ_TIME * (load.promptTokens + missing).toDouble() + FETCH_TIME * fetched +
+        val expected = batch(load, record.entry.slots) +
+            READ_TIME * (load.promptTokens + missing).toDouble() + FETCH_TIME * fetched
+        val cost = penalty + expected + staleness(prompt, number, now) +
             (if (home == null || home == own) Duration.ZERO else AWAY_FROM_HOME)
         val source = holder?.first ?: home?.takeIf { it != own }
-        return ScoredReplica(record, cost, held, source?.let { book[it]?.entry }, path, number)
+        return ScoredReplica(record, cost, expected, held, source?.let { book[it]?.entry }, path, number)
     }
 
     private fun penalty(record: ReplicaRecord): Duration {
--- /dev/null
+++ b/core/src/test/kotlin/org/guavapath/core/dispatch/AdmissionTest.kt
@@ -0,0 +1,72 @@
+package org.guavapath.core.dispatch
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+class AdmissionTest {
+    private class Case(val name: String, val expected: Int, val elapsed: Int, val timeLeft: Int, val isSent: Boolean)
+
+    @Test
+    fun aRequestIsSentOnlyIfItsFirstEventIsUseful() {
+        val cases = listOf(
+            Case("an idle fleet", expected = 50, elapsed = 0, timeLeft = 2_500, isSent = true),
+            Case("a burst: a little late", expected = 850, elapsed = 0, timeLeft = 2_500, isSent = true),
+            Case("a burst: far too late", expected = 1_300, elapsed = 0, timeLeft = 2_500, isSent = false),
+            Case("a second try after a long first one", expected = 500, elapsed = 800, timeLeft = 1_700, isSent = false),
+            Case("the caller leaves before the answer", expected = 300, elapsed = 0, timeLeft = 350, isSent = false),
+        )
+        cases.forEach { case ->
+            val decision = Admission.decide(
+                case.expected.milliseconds,
+                case.elapsed.milliseconds,
+                target = 800.milliseconds,
+                case.timeLeft.milliseconds,
+            )
+            assertEquals(case.isSent, decision is AdmissionDecision.Send, case.name)
+        }
+    }
+
+    /**
+     * Load pattern: arrivals at 1.7 times what the replicas can read. Without admission the line grows until
+     * everybody is late; with it, nearly all that are sent get their first event in useful time.
+     */
+    @Test
+    fun aBurstDoesNotMakeEverybodyLate() {
+        val service = 10.milliseconds
+        val arrivals = service / BURST
+        var free = Duration.ZERO
+        var now = Duration.ZERO
+        val waits = ArrayList<Duration>()
+        var refused = 0
+        repeat(ARRIVALS) {
+            now += arrivals
+            val expected = maxOf(Duration.ZERO, free - now) + service
+            when (Admission.decide(expected, Duration.ZERO, TARGET, TIME_LEFT)) {
+                is AdmissionDecision.Send -> {
+                    free = maxOf(free, now) + service
+                    waits.add(free - now)
+                }
+                is AdmissionDecision.Refuse -> refused += 1
+            }
+        }
+        assertEquals(true, waits.all { it <= TARGET * 1.5 }, "the longest wait is ${waits.max()}")
+        assertEquals(true, waits.size >= ARRIVALS / BURST, "${waits.size} of $ARRIVALS were served")
+        assertEquals(ARRIVALS, waits.size + refused)
+    }
+
+    @Test
+    fun aRefusalSaysWhenToComeBack() {
+        val decision = Admission.decide(5_000.milliseconds, Duration.ZERO, TARGET, TIME_LEFT)
+        assertEquals(1_500.milliseconds, assertIs<AdmissionDecision.Refuse>(decision).retryAfter)
+    }
+
+    private companion object {
+        const val BURST = 1.7
+        const val ARRIVALS = 2_000
+        val TARGET = 600.milliseconds
+        val TIME_LEFT = 12_000.milliseconds
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/guavapath/core/dispatch/SendHistoryTest.kt
@@ -0,0 +1,41 @@
+package org.guavapath.core.dispatch
+
+import org.guavapath.core.fleet.Repeatability
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+
+class SendHistoryTest {
+    private class Case(
+        val name: String,
+        val kind: Repeatability,
+        val limit: Int,
+        val sends: Int,
+        val runs: Int,
+        val allowsAnother: Boolean,
+    )
+
+    private val resumable = Repeatability.Stream(isResumable = true, longestGap = 400.milliseconds)
+    private val single = Repeatability.Stream(isResumable = false, longestGap = 400.milliseconds)
+
+    @Test
+    fun onlyWhatMayRunAgainIsSentAgainAfterAPossibleRun() {
+        val cases = listOf(
+            Case("once, refused before it ran", Repeatability.Once, limit = 1, sends = 1, runs = 0, true),
+            Case("once, may have run", Repeatability.Once, limit = 2, sends = 1, runs = 1, false),
+            Case("a stream that cannot be resumed, may have run", single, limit = 2, sends = 1, runs = 1, false),
+            Case("idempotent, may have run", Repeatability.Idempotent, limit = 2, sends = 1, runs = 1, true),
+            Case("idempotent, limit of replicas reached", Repeatability.Idempotent, limit = 2, sends = 2, runs = 2, false),
+            Case("resumable stream, broke off once", resumable, limit = 2, sends = 1, runs = 1, true),
+            Case("resumable stream with one replica allowed", resumable, limit = 1, sends = 1, runs = 1, false),
+            Case("refused everywhere", Repeatability.Idempotent, limit = 2, sends = 4, runs = 0, false),
+        )
+        cases.forEach { case ->
+            val history = SendHistory(case.kind, case.limit)
+            repeat(case.sends) { history.sent() }
+            repeat(case.runs) { history.mayHaveRun() }
+            assertEquals(case.allowsAnother, history.allowsAnother, case.name)
+            assertEquals(case.runs == 0, history.isSurelyNotRun, case.name)
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/guavapath/core/quota/FleetQuotaTest.kt
@@ -0,0 +1,143 @@
+package org.guavapath.core.quota
+
+import org.guavapath.core.fleet.FleetWorkspace
+import org.guavapath.core.identity.Incarnation
+import org.guavapath.core.identity.VmId
+import org.guavapath.core.identity.WorkspaceName
+import org.guavapath.core.time.MonotonicTime
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class FleetQuotaTest {
+    private val workspace = WorkspaceName("workspace")
+    private val limit = FleetWorkspace(
+        workspace,
+        keys = emptySet(),
+        priority = null,
+        isIsolated = false,
+        countsTokens = true,
+        plainTokens = 1,
+        ratePerSecond = RATE,
+        burst = RATE,
+    )
+
+    /** Gateways that report to each other every 250 ms, each report reaching those of the same group only. */
+    private inner class Simulation(size: Int, private val groupOf: (Int, Duration) -> Int) {
+        private val quotas = List(size) { FleetQuota(MonotonicTime.ZERO, isFirstStart = true) }
+        private val names = List(size) { VmId("vm-$it") }
+        val admissions = ArrayList<Pair<MonotonicTime, Long>>()
+
+        init {
+            quotas.forEachIndexed { index, quota ->
+                quota.configure(listOf(limit), MonotonicTime.ZERO)
+                quota.setMembers(names.toSet() - names[index])
+            }
+        }
+
+        fun run(length: Duration, demand: (Int, Duration) -> Long) {
+            var elapsed = Duration.ZERO
+            while (elapsed < length) {
+                val now = MonotonicTime.ZERO + elapsed
+                quotas.forEachIndexed { index, quota ->
+                    val tokens = demand(index, elapsed)
+                    if (tokens > 0 && quota.admit(workspace, tokens, now) is QuotaVerdict.Admitted) {
+                        admissions.add(now to tokens)
+                    }
+                }
+                if (elapsed.inWholeMilliseconds % REPORT_MILLISECONDS == 0L) report(elapsed, now)
+                elapsed += STEP
+            }
+        }
+
+        private fun report(elapsed: Duration, now: MonotonicTime) {
+            for (from in quotas.indices) for (to in quotas.indices) {
+                if (from != to && groupOf(from, elapsed) == groupOf(to, elapsed)) {
+                    quotas[to].report(names[from], Incarnation(1), quotas[from].totals, now)
+                }
+            }
+        }
+
+        /** Largest number of tokens admitted within any span of [window]. */
+        fun mostIn(window: Duration): Long {
+            var sum = 0L
+            var first = 0
+            return admissions.indices.maxOf { last ->
+                sum += admissions[last].second
+                while (admissions[last].first - admissions[first].first > window) sum -= admissions[first++].second
+                sum
+            }
+        }
+    }
+
+    private fun allowed(window: Duration): Double = (RATE * (window / 1.seconds) + RATE) * (1 + OVER) + SLACK
+
+    @Test
+    fun demandBeyondTheLimitStaysWithinTheStatedBound() {
+        val cases = listOf(
+            "one workspace at 7.5 times its usual on all VMs" to { _: Int, _: Duration -> 0 },
+            "a failure domain cut off for six seconds" to
+                { vm: Int, at: Duration -> if (at in 8.seconds..14.seconds && vm < 2) 1 else 0 },
+            "three VMs cut off, each alone" to
+                { vm: Int, at: Duration -> if (at in 6.seconds..18.seconds && vm < 3) vm + 1 else 0 },
+        )
+        cases.forEach { (name, groups) ->
+            val simulation = Simulation(VMS, groups)
+            val random = Random(1)
+            simulation.run(24.seconds) { _, _ -> if (random.nextInt(4) == 0) random.nextLong(100, 24_000) else 0 }
+            val most = simulation.mostIn(WINDOW)
+            assertTrue(most <= allowed(WINDOW), "$name: $most tokens, allowed are ${allowed(WINDOW)}")
+            assertTrue(most >= RATE * 7, "$name: only $most tokens")
+        }
+    }
+
+    @Test
+    fun demandOnOneVmAloneMayUseTheWholeLimit() {
+        val simulation = Simulation(VMS) { _, _ -> 0 }
+        simulation.run(16.seconds) { vm, _ -> if (vm == 0) RATE / 100 else 0 }
+        val total = simulation.admissions.sumOf { it.second }
+        assertTrue(total > RATE * 15, "$total tokens in 16 s")
+    }
+
+    @Test
+    fun aRequestThatDidNotRunIsNotCharged() {
+        val quota = FleetQuota(MonotonicTime.ZERO, isFirstStart = true)
+        quota.configure(listOf(limit), MonotonicTime.ZERO)
+        assertEquals(QuotaVerdict.Admitted, quota.admit(workspace, RATE, MonotonicTime.ZERO))
+        assertIs<QuotaVerdict.Exhausted>(quota.admit(workspace, RATE / 2, MonotonicTime.ZERO))
+        quota.refund(workspace, RATE)
+        assertEquals(QuotaVerdict.Admitted, quota.admit(workspace, RATE / 2, MonotonicTime.ZERO))
+    }
+
+    @Test
+    fun aRefusalTellsWhenTheTokensAreThere() {
+        val quota = FleetQuota(MonotonicTime.ZERO, isFirstStart = true)
+        quota.configure(listOf(limit), MonotonicTime.ZERO)
+        quota.admit(workspace, RATE, MonotonicTime.ZERO)
+        val verdict = assertIs<QuotaVerdict.Exhausted>(quota.admit(workspace, RATE / 4, MonotonicTime.ZERO))
+        val later = MonotonicTime.ZERO + verdict.retryAfter + 1.milliseconds
+        assertEquals(QuotaVerdict.Admitted, quota.admit(workspace, RATE / 4, later))
+    }
+
+    @Test
+    fun aRestartedFleetStartsWithoutABurst() {
+        val quota = FleetQuota(MonotonicTime.ZERO, isFirstStart = false)
+        quota.configure(listOf(limit), MonotonicTime.ZERO)
+        assertIs<QuotaVerdict.Exhausted>(quota.admit(workspace, 1_000, MonotonicTime.ZERO))
+    }
+
+    private companion object {
+        const val VMS = 8
+        const val RATE = 36_000L
+        const val OVER = 0.1
+        const val SLACK = 140_000
+        const val REPORT_MILLISECONDS = 250L
+        val STEP = 10.milliseconds
+        val WINDOW = 8.seconds
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/guavapath/core/quota/RepeatBudgetTest.kt
@@ -0,0 +1,42 @@
+package org.guavapath.core.quota
+
+import org.guavapath.core.time.MonotonicTime
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class RepeatBudgetTest {
+    private class Case(val name: String, val requests: Int, val slack: Double, val allowed: Int)
+
+    @Test
+    fun repeatsKeepToTheRatioAndThePartOfTheSlack() {
+        val cases = listOf(
+            Case("no traffic, no slack", requests = 0, slack = 0.0, allowed = 0),
+            Case("no traffic, some slack", requests = 0, slack = 7.0, allowed = 7),
+            Case("traffic alone", requests = 100, slack = 0.0, allowed = 20),
+            Case("traffic and slack", requests = 100, slack = 7.0, allowed = 27),
+        )
+        cases.forEach { case ->
+            val budget = RepeatBudget(10.seconds, ratio = 0.2)
+            val now = MonotonicTime.ZERO + 1.seconds
+            repeat(case.requests) { budget.countFirst(now) }
+            val taken = (1..100).count { budget.takeRepeat(case.slack, now) }
+            assertEquals(case.allowed, taken, case.name)
+        }
+    }
+
+    /** Load pattern: a quarter of the replicas silent for minutes; every request would be repeated. */
+    @Test
+    fun noWindowHoldsMoreThanAllowed() {
+        val budget = RepeatBudget(10.seconds, ratio = 0.2)
+        val taken = ArrayList<MonotonicTime>()
+        repeat(6_000) { step ->
+            val now = MonotonicTime.ZERO + 10.milliseconds * step
+            budget.countFirst(now)
+            if (budget.takeRepeat(slack = 7.0, now)) taken.add(now)
+        }
+        val most = taken.maxOf { end -> taken.count { it <= end && end - it <= 10.seconds } }
+        assertEquals(true, most <= 1_001 * 0.2 + 7, "$most repeats in a window")
+    }
+}
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -3,6 +3,7 @@
 import org.guavapath.core.fleet.Repeatability
 import org.guavapath.core.results.DispatchCode
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.pipeline.Refusal
 import java.util.concurrent.TimeUnit
 
 /**
@@ -28,7 +29,7 @@
         val timer = context.loop.schedule({ timeIsUp() }, left, TimeUnit.MILLISECONDS)
         end.onEnd = { timer.cancel(false) }
         context.countFirst(admitted.service)
-        sends.sendNext()?.let { end.giveUp(DispatchCode.NoEndpoint, it, sends) }
+        sends.sendNext()?.let { end.giveUp(it, sends) }
     }
 
     override fun callerLeft() {
@@ -89,31 +90,28 @@
         val reason = "the endpoint answered $status"
         when {
             status >= FIRST_FAULT_STATUS && sends.mayRepeat(wasArrival = true) -> again(attempt, reason)
-            relay.hasBegun || status in NOT_RUN_STATUSES -> end.giveUp(DispatchCode.OutcomeUnknown, reason, sends)
+            relay.hasBegun || status in NOT_RUN_STATUSES -> end.giveUp(Refusal(DispatchCode.OutcomeUnknown, reason), sends)
             else -> end.passOn(event, sends.sends)
         }
     }
 
     private fun tryAnother(attempt: Attempt, otherwise: DispatchCode, reason: String, wasArrival: Boolean = true) {
-        if (sends.mayRepeat(wasArrival)) again(attempt, reason) else end.giveUp(otherwise, reason, sends)
+        if (sends.mayRepeat(wasArrival)) again(attempt, reason) else end.giveUp(Refusal(otherwise, reason), sends)
     }
 
     /** Sends the request to another replica; the attempt before ends if it has not. */
     private fun again(attempt: Attempt, reason: String) {
         attempt.cancel()
         context.records.log.attemptEnded(admitted, attempt, reason)
-        sends.sendNext()?.let { end.giveUp(DispatchCode.NoEndpoint, it, sends) }
+        sends.sendNext()?.let { end.giveUp(it, sends) }
     }
 
     private fun timeIsUp() {
         val attempt = sends.current
         attempt?.cancel()
         attempt?.let { sends.countRun(it) }
-        end.giveUp(
-            if (attempt == null) DispatchCode.DeadlinePassed else DispatchCode.EndpointTimeout,
-            "the time is over",
-            sends
-        )
+        val code = if (attempt == null) DispatchCode.DeadlinePassed else DispatchCode.EndpointTimeout
+        end.giveUp(Refusal(code, "the time is over"), sends)
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeEnd.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeEnd.kt
@@ -34,22 +34,20 @@
     fun callerLeft(sends: Int) = ended(Ending(DispatchCode.AnswerIncomplete, "the caller left", status = 0), sends)
 
     /** Ends the request without an answer of a replica; "not run" is told only if that is certain. */
-    fun giveUp(code: DispatchCode, detail: String, sends: ExchangeSends) {
+    fun giveUp(refusal: Refusal, sends: ExchangeSends) {
         if (sends.isSurelyNotRun) admitted.workspace?.let { context.fleet.quota.refund(it.name, admitted.charged) }
         if (relay.hasBegun) {
             sink.abort()
-            ended(Ending(DispatchCode.AnswerIncomplete, detail, status = 0), sends.sends)
+            ended(Ending(DispatchCode.AnswerIncomplete, refusal.detail, status = 0), sends.sends)
             return
         }
-        val told = truthful(code, sends)
-        sink.refuse(
-            Refusal(told, detail, RETRY_AFTER.takeIf { told.status.number == UNAVAILABLE }),
-            admitted.request.id
-        )
-        ended(Ending(told, detail, told.status.number), sends.sends)
+        val code = truthful(refusal.code, sends)
+        val retryAfter = (refusal.retryAfter ?: RETRY_AFTER).takeIf { code.status.number == UNAVAILABLE }
+        sink.refuse(Refusal(code, refusal.detail, retryAfter), admitted.request.id)
+        ended(Ending(code, refusal.detail, code.status.number), sends.sends)
     }
 
-    private fun truthful(code: DispatchCode, sends: ExchangeSends): ResultCode {
+    private fun truthful(code: ResultCode, sends: ExchangeSends): ResultCode {
         val promisesNotRun = code.status.number == UNAVAILABLE
         return if (promisesNotRun && !sends.isSurelyNotRun) DispatchCode.OutcomeUnknown else code
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeSends.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeSends.kt
@@ -1,11 +1,15 @@
 package org.guavapath.daemon.gateway
 
+import org.guavapath.core.dispatch.Admission
+import org.guavapath.core.dispatch.AdmissionDecision
 import org.guavapath.core.dispatch.SendHistory
 import org.guavapath.core.fleet.ReplicaId
 import org.guavapath.core.placement.PlacementRequest
 import org.guavapath.core.placement.PlacementResult
 import org.guavapath.core.placement.ScoredReplica
+import org.guavapath.core.results.DispatchCode
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.pipeline.Refusal
 import org.guavapath.platform.wire.ReplicaInstructions
 import org.guavapath.platform.wire.ReplyHead
 import kotlin.time.Duration.Companion.milliseconds
@@ -26,19 +30,29 @@
     val sends: Int get() = history.sends
     val isSurelyNotRun: Boolean get() = history.isSurelyNotRun
 
-    /** Sends the request to the best replica that was not tried yet; returns why there is none, null if it was sent. */
-    fun sendNext(): String? {
+    /** Sends the request to the best replica that was not tried yet; returns why not, null if it was sent. */
+    fun sendNext(): Refusal? {
         val owner = admitted.workspace?.takeIf { it.isIsolated }?.name
         val wanted = PlacementRequest(admitted.service.name, admitted.request.prompt, owner, tried)
         return when (val result = context.fleet.placement.choose(wanted, MonotonicTime.now())) {
-            is PlacementResult.NoReplica -> result.reason
-            is PlacementResult.Chosen -> {
-                send(result)
-                null
-            }
+            is PlacementResult.NoReplica -> Refusal(DispatchCode.NoEndpoint, result.reason)
+            is PlacementResult.Chosen -> overload(result.chosen) ?: send(result)
         }
     }
 
+    /** Returns the refusal of a request that would be answered too late; one that has begun goes on in any case. */
+    private fun overload(chosen: ScoredReplica): Refusal? {
+        val now = MonotonicTime.now()
+        val decision = Admission.decide(
+            chosen.expected,
+            now - admitted.request.receivedAt,
+            admitted.route.targetLatency,
+            admitted.endAt - now,
+        )
+        return (decision as? AdmissionDecision.Refuse)?.takeIf { !relay.hasBegun && admitted.request.prompt != null }
+            ?.let { Refusal(DispatchCode.EndpointsBusy, "first event expected in ${chosen.expected}", it.retryAfter) }
+    }
+
     /**
      * Returns whether the request may be sent again.
      *
@@ -66,7 +80,7 @@
         }
     }
 
-    private fun send(result: PlacementResult.Chosen) {
+    private fun send(result: PlacementResult.Chosen): Refusal? {
         history.sent()
         tried.add(result.chosen.record.entry.id)
         context.records.log.dispatched(admitted, result, history.sends)
@@ -74,6 +88,7 @@
         val attempt = Attempt(context, admitted, result.chosen, handle)
         current = attempt
         attempt.start(instructions(result.chosen))
+        return null
     }
 
     private fun instructions(chosen: ScoredReplica) = ReplicaInstructions(
