--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
@@ -14,6 +14,7 @@
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.peers.PeerMessage
 import org.guavapath.daemon.peers.PeerSender
+import org.guavapath.platform.wire.StoreKinds
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -28,7 +29,7 @@
     private val members: Members,
     private val lease: RolloutLease,
 ) : RolloutPeers {
-    private val served = HashMap<VmId, Boolean>()
+    private val statuses = HashMap<VmId, PeerMessage.FleetStatus>()
     private val behindSince = HashMap<StoreView, MonotonicTime>()
 
     /** Tells the others this gateway's status, at once when it changes and now and then when it does not. */
@@ -58,7 +59,7 @@
     /** Takes over what [from] tells about itself. */
     fun heard(from: VmId, status: PeerMessage.FleetStatus, book: ReplicaBook) {
         val now = MonotonicTime.now()
-        served[from] = status.isServedByStore
+        statuses[from] = status
         lease.heard(status.rollout)
         status.loads.forEach { (replica, load) ->
             book[ReplicaId(replica)]?.report(from, ReplicaLoad(load.promptTokens, load.requests), now)
@@ -90,7 +91,7 @@
     /** The present holder is the candidate while it is fit, otherwise the first gateway that the store serves. */
     override fun isRolloutCandidate(): Boolean {
         val holder = lease.known?.vm
-        val isServedHere = views.all { it.isServed }
+        val isServedHere = isServed()
         return isServedHere && when {
             holder == self -> true
             holder != null && isFit(holder) -> false
@@ -100,7 +101,15 @@
 
     override fun tellAll(message: PeerMessage) = peers.sendToAll(message)
 
-    private fun isFit(vm: VmId) = members.isAlive(vm) && served[vm] == true
+    /** A gateway that lacks a change which this one has may be cut off from the store without knowing it yet. */
+    private fun isFit(vm: VmId): Boolean {
+        val status = statuses[vm]
+        return members.isAlive(vm) && status != null && status.isServedByStore &&
+            views.filter { it.kind == StoreKinds.WEIGHTS }
+                .all { (status.views[it.kind.text] ?: 0) >= it.newestChange.number }
+    }
+
+    private fun isServed() = views.all { it.isServed } && !lease.isFailing
 
     private fun catchUp(view: StoreView, from: VmId, theirs: Revision, now: MonotonicTime) {
         if (theirs <= view.asOf) {
@@ -119,7 +128,7 @@
         usage = quota.totals.toMap(),
         loads = book.all.filter { it.ownLoad != ReplicaLoad.NONE }
             .associate { it.entry.id.text to PeerMessage.SharedLoad(it.ownLoad.promptTokens, it.ownLoad.requests) },
-        isServedByStore = views.all { it.isServed },
+        isServedByStore = isServed(),
         rollout = lease.known,
     )
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
@@ -15,6 +15,7 @@
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.peers.PeerMessage
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** The lease as it lies in the store. */
 @Serializable
@@ -38,6 +39,11 @@
     private var confirmation: Confirmation? = null
     private var usableFrom = MonotonicTime.ZERO
 
+    private var failedAt: MonotonicTime? = null
+
+    /** Whether the store did not serve the last confirmation; another gateway should take over then. */
+    val isFailing: Boolean get() = failedAt?.let { MonotonicTime.now() - it < FAILING_FOR } ?: false
+
     /** The holder as far as this gateway knows. */
     var known: PeerMessage.RolloutHolder? = null
         private set
@@ -53,7 +59,10 @@
 
     /** Returns the fencing token if this gateway surely holds the lease now, and takes the lease over if need be. */
     suspend fun confirmed(): Long? {
-        if (!isFresh()) withTimeoutOrNull(CONFIRM_LIMIT) { confirm() }
+        if (!isFresh()) {
+            withTimeoutOrNull(CONFIRM_LIMIT) { confirm() }
+            failedAt = if (isFresh()) null else MonotonicTime.now()
+        }
         val isUsable = isFresh() && MonotonicTime.now() >= usableFrom
         return known?.takeIf { it.vm == self && isUsable }?.fencingToken
     }
@@ -119,6 +128,8 @@
         val CONFIRMED_FOR = 700.milliseconds
         val CONFIRM_LIMIT = 600.milliseconds
 
+        val FAILING_FOR = 3.seconds
+
         /** The former holder's last confirmation and the order sent under it have run out by then. */
         val HANDOVER_PAUSE = 1000.milliseconds
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -50,8 +50,9 @@
     var recoveredAt = MonotonicTime.ZERO
         private set
 
-    /** Whether the store serves this view. */
-    val isServed: Boolean get() = failingSince == null && asOf > Revision.NONE
+    /** Whether the store serves this view; a watch that is cut and taken up again does not count. */
+    val isServed: Boolean
+        get() = asOf > Revision.NONE && failingSince.let { it == null || MonotonicTime.now() - it < BLINK }
 
     /** Keeps the copy up to date until it is cancelled. */
     suspend fun follow() {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
@@ -62,7 +62,8 @@
 
     private suspend fun give(order: WeightsOrder, replica: Replica, token: Long, acceptedOrders: Long): OrderReply? {
         val body = ReplicaCodec.orderBody(order, holder, token, acceptedOrders)
-        val reply = calls.order(replica, body, ORDER_LIMIT).get()?.let { ReplicaCodec.orderReply(it.status) }
+        val answer = calls.order(replica, body, ORDER_LIMIT).get()
+        val reply = answer?.let { ReplicaCodec.orderReply(it.status) }
         log.belief(
             "weights ordered",
             "replica" to replica.id.text,
@@ -70,6 +71,7 @@
             "token" to token,
             "acceptedOrders" to acceptedOrders,
             "reply" to (reply?.name ?: "none"),
+            "status" to answer?.status,
         )
         return reply
     }
