Placement: long shared parts are saved to the cache store and fetched from where they surely are

A replica's memory is written over within about eight seconds, so parts that were last used longer ago are gone there. The store keeps them; it is asked when no replica used them in the last four seconds.

--- a/core/src/main/kotlin/org/guavapath/core/fleet/FleetConfiguration.kt
+++ b/core/src/main/kotlin/org/guavapath/core/fleet/FleetConfiguration.kt
@@ -203,6 +203,9 @@
     public fun route(host: String, path: String): FleetRoute? =
         routesByHost[host.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
 
+    /** The store of cached prompt parts, null if there is none. */
+    public val cacheStore: CacheStore? = services.values.firstNotNullOfOrNull { it.cacheStore }
+
     /** Returns the workspace that holds the key with [hash], null if the key is not in force. */
     public fun workspace(hash: KeyHash): FleetWorkspace? = workspaceByKey[hash]
 }
--- a/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -7,8 +7,8 @@
  */
 package org.guavapath.core.placement
 
+import org.guavapath.core.fleet.CacheStore
 import org.guavapath.core.fleet.PromptShape
-import org.guavapath.core.fleet.Replica
 import org.guavapath.core.fleet.ReplicaId
 import org.guavapath.core.fleet.ServiceName
 import org.guavapath.core.fleet.WeightsNumber
@@ -27,12 +27,14 @@
  * @property prompt set for requests to models
  * @property cacheOwner workspace whose cached parts may be used alone, null if parts may be shared
  * @property excluded replicas that were tried already
+ * @property cacheStore the store of cached parts, null if there is none
  */
 public data class PlacementRequest(
     public val service: ServiceName,
     public val prompt: PromptShape?,
     public val cacheOwner: WorkspaceName?,
     public val excluded: Set<ReplicaId>,
+    public val cacheStore: CacheStore?,
 )
 
 /**
@@ -42,7 +44,7 @@
  * @property cost expected time to the first event with all penalties
  * @property expected expected time to the first event
  * @property heldTokens tokens at the prompt's beginning that it holds
- * @property fetchFrom a replica to fetch more of the prompt from, null if reading is as fast
+ * @property source where the replica may fetch more of the prompt, null if reading is as fast
  * @property path the prompt's path under the replica's weights, null for plain requests
  * @property weights weights that the request is to meet
  */
@@ -51,7 +53,7 @@
     public val cost: Duration,
     public val expected: Duration,
     public val heldTokens: Int,
-    public val fetchFrom: Replica?,
+    public val source: PromptSource?,
     public val path: PromptPath?,
     public val weights: WeightsNumber?,
 ) {
@@ -90,6 +92,8 @@
     private val directory: PromptDirectory,
     private val weights: NamedWeights,
 ) {
+    private val sources = PromptSources(book, directory)
+
     /** Chooses a replica for [request] at [now]. */
     public fun choose(request: PlacementRequest, now: MonotonicTime): PlacementResult {
         val listed = book.of(request.service)
@@ -122,23 +126,19 @@
         val load = record.load(now)
         if (prompt == null) {
             val expected = PLAIN_WORK * load.requests / maxOf(1, record.entry.slots)
-            return ScoredReplica(record, penalty + expected, expected, heldTokens = 0, fetchFrom = null, path = null, weights = null)
+            return ScoredReplica(record, penalty + expected, expected, heldTokens = 0, source = null, path = null, weights = null)
         }
         val number = record.weights(prompt.model)
         val path = PromptPath.of(cacheSalt(request.cacheOwner, prompt.model, number), prompt.parts)
-        val own = record.entry.id
-        val held = directory.heldTokens(path, own, now)
-        val holder = directory.bestHolder(path, holders - own, now)?.takeIf { it.second > held + FEWEST_FETCHED }
-        val fetched = holder?.let { it.second - held } ?: 0
+        val held = directory.heldTokens(path, record.entry.id, Certainty.LIKELY, now)
+        val source = sources.best(path, record.entry.id, holders, request.cacheStore, now)
+        val fetched = maxOf(0, (source?.tokens ?: 0) - held)
         val missing = maxOf(0, prompt.promptTokens - held - fetched)
-        val isShared = held + fetched >= path.sharedTokens
-        val home = if (isShared) null else directory.home(path, holders)
         val expected = batch(load, record.entry.slots) +
             READ_TIME * (load.promptTokens + missing).toDouble() + FETCH_TIME * fetched
-        val cost = penalty + expected + staleness(prompt, number, now) +
-            (if (home == null || home == own) Duration.ZERO else AWAY_FROM_HOME)
-        val source = holder?.first ?: home?.takeIf { it != own }
-        return ScoredReplica(record, cost, expected, held, source?.let { book[it]?.entry }, path, number)
+        val isAway = held + fetched < path.sharedTokens && sources.home(path, holders) != record.entry.id
+        val cost = penalty + expected + staleness(prompt, number, now) + (if (isAway) AWAY_FROM_HOME else Duration.ZERO)
+        return ScoredReplica(record, cost, expected, held, source, path, number)
     }
 
     private fun penalty(record: ReplicaRecord): Duration {
@@ -178,9 +178,6 @@
         /** Requests must not begin on weights that were replaced 6 s ago; the rest is room for queues and clocks. */
         val LONGEST_OUTDATED = 5.seconds
 
-        /** A fetch has a fixed cost of about a millisecond; fewer tokens are read as fast. */
-        const val FEWEST_FETCHED = 200
-
         /**
          * A shared part that is read twice costs the fleet more than its request is worth; the first
          * requests go to one replica unless that is busier than the others by this much.
--- a/core/src/main/kotlin/org/guavapath/core/placement/PromptDirectory.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/PromptDirectory.kt
@@ -1,9 +1,9 @@
 package org.guavapath.core.placement
 
-import com.dynatrace.hash4j.hashing.Hashing
 import org.guavapath.core.fleet.ReplicaId
 import org.guavapath.core.routing.BlockHash
 import org.guavapath.core.time.MonotonicTime
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Memory bound: about 100 bytes an entry, so 2 MB on the smallest VM. */
@@ -12,8 +12,24 @@
 private const val FIRST_CAPACITY = 1_024
 private const val LOAD_FACTOR = 0.75f
 
-/** At the usual traffic a replica's memory is written over within about eight seconds. */
-private val HELD_FOR = 8.seconds
+/** The store has room for several times the shared parts that are in use. */
+private val STORED_FOR = 20.seconds
+
+/** Stands for the store of cached parts among the holders. */
+private val STORE = ReplicaId("cache-store")
+
+/**
+ * How sure it is that a replica still holds a part, by the time since its last use.
+ *
+ * @property age longest time since the last use
+ */
+public enum class Certainty(internal val age: Duration) {
+    /** The part is surely still in the replica's memory. */
+    SURE(4.seconds),
+
+    /** At the usual traffic a replica's memory is written over within about eight seconds. */
+    LIKELY(8.seconds),
+}
 
 /**
  * Which replicas hold which beginnings of prompts, as far as this VM knows from the requests that it sent.
@@ -52,32 +68,41 @@
         holders.values.removeIf { it.usedAt.isEmpty() }
     }
 
-    /** Returns the tokens at the beginning of [path] that [replica] holds. */
-    public fun heldTokens(path: PromptPath, replica: ReplicaId, now: MonotonicTime): Int {
-        val deepest = path.steps.indexOfLast { step ->
-            holders[step]?.usedAt?.get(replica)?.let { now - it < HELD_FOR } ?: false
+    /** Records that the shared steps of [path] are saved to the store. */
+    public fun recordStored(path: PromptPath, now: MonotonicTime) {
+        path.sharedSteps.forEach { step ->
+            record(step, STORE, now)
+            news[step] = STORE
         }
-        return if (deepest < 0) 0 else path.tokensUpTo[deepest]
     }
 
-    /**
-     * Returns the replica among [candidates] that all VMs prefer for the shared part of [path] while nobody is
-     * known to hold it, so that it is read once; null if there are no candidates.
-     */
-    public fun home(path: PromptPath, candidates: Set<ReplicaId>): ReplicaId? {
-        val step = path.sharedSteps.lastOrNull() ?: return null
-        val hasher = Hashing.xxh3_64()
-        return candidates.maxByOrNull { hasher.hashLongLongToLong(step.bits, hasher.hashCharsToLong(it.text)) }
-    }
+    /** Returns the tokens at the beginning of [path] that [replica] holds with [certainty]. */
+    public fun heldTokens(path: PromptPath, replica: ReplicaId, certainty: Certainty, now: MonotonicTime): Int =
+        tokens(path, replica, now, certainty.age)
 
-    /** Returns the replica among [candidates] that holds most of [path], with the tokens held; null if none does. */
-    public fun bestHolder(path: PromptPath, candidates: Set<ReplicaId>, now: MonotonicTime): Pair<ReplicaId, Int>? {
+    /** Returns the tokens at the beginning of [path] that the store holds. */
+    public fun storedTokens(path: PromptPath, now: MonotonicTime): Int = tokens(path, STORE, now, STORED_FOR)
+
+    /** Returns the one of [candidates] that holds most of [path] with [certainty], and the tokens; null if none does. */
+    public fun bestHolder(
+        path: PromptPath,
+        candidates: Set<ReplicaId>,
+        certainty: Certainty,
+        now: MonotonicTime,
+    ): Pair<ReplicaId, Int>? {
         for (index in path.steps.indices.reversed()) {
             val newest = holders[path.steps[index]]?.usedAt.orEmpty()
-                .filter { it.key in candidates && now - it.value < HELD_FOR }
+                .filter { it.key in candidates && now - it.value < certainty.age }
                 .maxByOrNull { it.value }
             if (newest != null) return newest.key to path.tokensUpTo[index]
         }
         return null
     }
+
+    private fun tokens(path: PromptPath, holder: ReplicaId, now: MonotonicTime, age: Duration): Int {
+        val deepest = path.steps.indexOfLast { step ->
+            holders[step]?.usedAt?.get(holder)?.let { now - it < age } ?: false
+        }
+        return if (deepest < 0) 0 else path.tokensUpTo[deepest]
+    }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -1,6 +1,7 @@
 package org.guavapath.daemon.gateway
 
 import io.netty.channel.EventLoop
+import org.guavapath.core.fleet.CacheStore
 import org.guavapath.core.fleet.FleetRequest
 import org.guavapath.core.fleet.FleetRoute
 import org.guavapath.core.fleet.FleetService
@@ -14,6 +15,7 @@
  *
  * @property workspace the workspace of the caller's key, null on open routes
  * @property charged tokens that its workspace was charged
+ * @property cacheStore the store of cached prompt parts, null if there is none
  */
 internal class AdmittedRequest(
     val incoming: IncomingRequest,
@@ -22,6 +24,7 @@
     val service: FleetService,
     val workspace: FleetWorkspace?,
     val charged: Long,
+    val cacheStore: CacheStore?,
 ) {
     /** When the answer is due: the caller's deadline or the route's timeout, whichever is first. */
     val endAt: MonotonicTime = minOf(request.deadline, request.receivedAt + route.timeout)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeSends.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeSends.kt
@@ -33,7 +33,7 @@
     /** Sends the request to the best replica that was not tried yet; returns why not, null if it was sent. */
     fun sendNext(): Refusal? {
         val owner = admitted.workspace?.takeIf { it.isIsolated }?.name
-        val wanted = PlacementRequest(admitted.service.name, admitted.request.prompt, owner, tried)
+        val wanted = PlacementRequest(admitted.service.name, admitted.request.prompt, owner, tried, admitted.cacheStore)
         return when (val result = context.fleet.placement.choose(wanted, MonotonicTime.now())) {
             is PlacementResult.NoReplica -> Refusal(DispatchCode.NoEndpoint, result.reason)
             is PlacementResult.Chosen -> overload(result.chosen) ?: send(result)
@@ -98,12 +98,25 @@
         priority = admitted.workspace?.priority ?: admitted.route.priority,
         weights = chosen.weights,
         salt = chosen.path?.salt,
-        fetchFrom = chosen.fetchFrom?.address,
-        saveTo = null,
+        fetchFrom = chosen.source?.address,
+        saveTo = storeToSaveTo(chosen),
         resumeAfter = relay.resumeAfter,
     )
 
+    /** Long shared parts are saved once, so that they outlive the memory of the replica that read them. */
+    private fun storeToSaveTo(chosen: ScoredReplica): String? {
+        val path = chosen.path ?: return null
+        val now = MonotonicTime.now()
+        val isStored = context.fleet.directory.storedTokens(path, now) >= path.sharedTokens
+        val store = admitted.cacheStore?.takeIf { path.sharedTokens >= FEWEST_SAVED && !isStored }
+        if (store != null) context.fleet.directory.recordStored(path, now)
+        return store?.address
+    }
+
     private companion object {
+        /** The store takes the whole prompt, so that saving a short shared part would push out longer ones. */
+        const val FEWEST_SAVED = 1_000
+
         val LEAST_TIME_FOR_REPEAT = 50.milliseconds
 
         /** The list tells within two seconds who is at an address now. */
