Platform: one client; the own interface's objects lie in the store, and the stand-in speaks its protocol

The second object protocol is gone: named objects of the own interface are kinds and names in the store, and the stand-in answers lists, watches by revision, 410 and conditional writes as the users' store does.

--- a/acceptance/src/test/kotlin/org/guavapath/acceptance/Fleet.kt
+++ b/acceptance/src/test/kotlin/org/guavapath/acceptance/Fleet.kt
@@ -158,7 +158,7 @@
             """{"platformPort":$platformPort,"engines":[${list.joinToString(",")}],"servicePorts":[$servicePort]}""",
         )
         start("standins", "standins", settings)
-        await("${platform()}/vms")
+        await("${platform()}/objects/vms")
         await("${service()}/standin/runs")
     }
 
--- a/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -126,7 +126,15 @@
         val load = record.load(now)
         if (prompt == null) {
             val expected = PLAIN_WORK * load.requests / maxOf(1, record.entry.slots)
-            return ScoredReplica(record, penalty + expected, expected, heldTokens = 0, source = null, path = null, weights = null)
+            return ScoredReplica(
+                record,
+                penalty + expected,
+                expected,
+                heldTokens = 0,
+                source = null,
+                path = null,
+                weights = null
+            )
         }
         val number = record.weights(prompt.model)
         val path = PromptPath.of(cacheSalt(request.cacheOwner, prompt.model, number), prompt.parts)
--- a/core/src/main/kotlin/org/guavapath/core/placement/PromptDirectory.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/PromptDirectory.kt
@@ -83,7 +83,7 @@
     /** Returns the tokens at the beginning of [path] that the store holds. */
     public fun storedTokens(path: PromptPath, now: MonotonicTime): Int = tokens(path, STORE, now, STORED_FOR)
 
-    /** Returns the one of [candidates] that holds most of [path] with [certainty], and the tokens; null if none does. */
+    /** Returns the one of [candidates] that holds most of [path] with [certainty] and the tokens, null if none does. */
     public fun bestHolder(
         path: PromptPath,
         candidates: Set<ReplicaId>,
--- a/core/src/test/kotlin/org/guavapath/core/dispatch/AdmissionTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/dispatch/AdmissionTest.kt
@@ -15,7 +15,13 @@
             Case("an idle fleet", expected = 50, elapsed = 0, timeLeft = 2_500, isSent = true),
             Case("a burst: a little late", expected = 850, elapsed = 0, timeLeft = 2_500, isSent = true),
             Case("a burst: far too late", expected = 1_300, elapsed = 0, timeLeft = 2_500, isSent = false),
-            Case("a second try after a long first one", expected = 500, elapsed = 800, timeLeft = 1_700, isSent = false),
+            Case(
+                "a second try after a long first one",
+                expected = 500,
+                elapsed = 800,
+                timeLeft = 1_700,
+                isSent = false
+            ),
             Case("the caller leaves before the answer", expected = 300, elapsed = 0, timeLeft = 350, isSent = false),
         )
         cases.forEach { case ->
--- a/core/src/test/kotlin/org/guavapath/core/dispatch/SendHistoryTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/dispatch/SendHistoryTest.kt
@@ -25,7 +25,14 @@
             Case("once, may have run", Repeatability.Once, limit = 2, sends = 1, runs = 1, false),
             Case("a stream that cannot be resumed, may have run", single, limit = 2, sends = 1, runs = 1, false),
             Case("idempotent, may have run", Repeatability.Idempotent, limit = 2, sends = 1, runs = 1, true),
-            Case("idempotent, limit of replicas reached", Repeatability.Idempotent, limit = 2, sends = 2, runs = 2, false),
+            Case(
+                "idempotent, limit of replicas reached",
+                Repeatability.Idempotent,
+                limit = 2,
+                sends = 2,
+                runs = 2,
+                false
+            ),
             Case("resumable stream, broke off once", resumable, limit = 2, sends = 1, runs = 1, true),
             Case("resumable stream with one replica allowed", resumable, limit = 1, sends = 1, runs = 1, false),
             Case("refused everywhere", Repeatability.Idempotent, limit = 2, sends = 4, runs = 0, false),
--- a/core/src/test/kotlin/org/guavapath/core/placement/PlacementTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/placement/PlacementTest.kt
@@ -29,7 +29,12 @@
     private val store = CacheStore("10.0.0.9:1", there)
     private val now = MonotonicTime.ZERO + 100.seconds
 
-    private fun replica(name: String, domain: FailureDomainName = here, weights: Long = 1, isDraining: Boolean = false) =
+    private fun replica(
+        name: String,
+        domain: FailureDomainName = here,
+        weights: Long = 1,
+        isDraining: Boolean = false,
+    ) =
         Replica(
             ReplicaId(name),
             bornAt = 0,
--- a/core/src/test/kotlin/org/guavapath/core/streams/EventAssemblerTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/streams/EventAssemblerTest.kt
@@ -15,7 +15,12 @@
             Case("carriage returns", listOf("id: 3\r\ndata: a\r\n\r\n"), listOf(3L), isPartial = false),
             Case("broken off within the second", listOf("id: 1\n\n", "id: 2\nda"), listOf(1L), isPartial = true),
             Case("without an identifier", listOf("data: a\n\n"), listOf(null), isPartial = false),
-            Case("another line before", listOf("weight-versions: 2\nid: 4\ndata: a\n\n"), listOf(4L), isPartial = false),
+            Case(
+                "another line before",
+                listOf("weight-versions: 2\nid: 4\ndata: a\n\n"),
+                listOf(4L),
+                isPartial = false
+            ),
         )
         cases.forEach { case ->
             val assembler = EventAssembler()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/Main.kt
@@ -12,7 +12,8 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import org.guavapath.daemon.settings.SettingsReader
-import org.guavapath.platform.HttpObjectApi
+import org.guavapath.platform.store.NamedObjects
+import org.guavapath.platform.store.ObjectStoreClient
 import java.io.IOException
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
@@ -36,7 +37,7 @@
     }
     val settings = SettingsReader.read(text, overrides.map { overrideOf(it) })
         .getOrElse { faults -> failSettings(faults.map { "$file: $it" }) }
-    val daemon = Daemon(settings, HttpObjectApi(settings.platform))
+    val daemon = Daemon(settings, NamedObjects(ObjectStoreClient(settings.platform.substringAfter("//"))))
     daemon.start()
     val ended = CountDownLatch(1)
     Runtime.getRuntime().addShutdownHook(
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -90,7 +90,10 @@
         val reason = "the endpoint answered $status"
         when {
             status >= FIRST_FAULT_STATUS && sends.mayRepeat(wasArrival = true) -> again(attempt, reason)
-            relay.hasBegun || status in NOT_RUN_STATUSES -> end.giveUp(Refusal(DispatchCode.OutcomeUnknown, reason), sends)
+            relay.hasBegun || status in NOT_RUN_STATUSES -> end.giveUp(
+                Refusal(DispatchCode.OutcomeUnknown, reason),
+                sends
+            )
             else -> end.passOn(event, sends.sends)
         }
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -10,22 +10,25 @@
 import org.guavapath.core.quota.RepeatBudget
 import org.guavapath.core.time.MonotonicTime
 
+/** The service that a request goes to, and the store of cached prompt parts if there is one. */
+internal class Destination(val service: FleetService, val cacheStore: CacheStore?)
+
 /**
  * A request that passed all checks.
  *
  * @property workspace the workspace of the caller's key, null on open routes
  * @property charged tokens that its workspace was charged
- * @property cacheStore the store of cached prompt parts, null if there is none
  */
 internal class AdmittedRequest(
     val incoming: IncomingRequest,
     val request: FleetRequest,
     val route: FleetRoute,
-    val service: FleetService,
+    val destination: Destination,
     val workspace: FleetWorkspace?,
     val charged: Long,
-    val cacheStore: CacheStore?,
 ) {
+    val service: FleetService get() = destination.service
+
     /** When the answer is due: the caller's deadline or the route's timeout, whichever is first. */
     val endAt: MonotonicTime = minOf(request.deadline, request.receivedAt + route.timeout)
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeSends.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeSends.kt
@@ -33,7 +33,13 @@
     /** Sends the request to the best replica that was not tried yet; returns why not, null if it was sent. */
     fun sendNext(): Refusal? {
         val owner = admitted.workspace?.takeIf { it.isIsolated }?.name
-        val wanted = PlacementRequest(admitted.service.name, admitted.request.prompt, owner, tried, admitted.cacheStore)
+        val wanted = PlacementRequest(
+            admitted.service.name,
+            admitted.request.prompt,
+            owner,
+            tried,
+            admitted.destination.cacheStore
+        )
         return when (val result = context.fleet.placement.choose(wanted, MonotonicTime.now())) {
             is PlacementResult.NoReplica -> Refusal(DispatchCode.NoEndpoint, result.reason)
             is PlacementResult.Chosen -> overload(result.chosen) ?: send(result)
@@ -108,7 +114,7 @@
         val path = chosen.path ?: return null
         val now = MonotonicTime.now()
         val isStored = context.fleet.directory.storedTokens(path, now) >= path.sharedTokens
-        val store = admitted.cacheStore?.takeIf { path.sharedTokens >= FEWEST_SAVED && !isStored }
+        val store = admitted.destination.cacheStore?.takeIf { path.sharedTokens >= FEWEST_SAVED && !isStored }
         if (store != null) context.fleet.directory.recordStored(path, now)
         return store?.address
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -13,10 +13,8 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
-import org.guavapath.core.fleet.ReplicaId
 import org.guavapath.core.identity.Incarnation
 import org.guavapath.core.identity.VmId
-import org.guavapath.core.routing.BlockHash
 import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.peers.PeerHandshake
@@ -54,6 +52,7 @@
     )
     private val lease = RolloutLease(settings.vm, incarnation, store, log)
     private val exchange = PeerExchange(settings.vm, views, peers, members, lease)
+    private val news = PeerNews(incarnation, fleet, views, peers, exchange, lease)
     private val loader = WeightsLoader(settings.vm.text, lease, ReplicaCalls(pool), log)
     private val rollout = RolloutTask(fleet, lease, loader, exchange)
     private val reception = Reception(
@@ -65,16 +64,21 @@
 
     /** Starts everything. */
     fun start() {
-        log.belief("started", "vm" to settings.vm.text, "incarnation" to incarnation.number, "settings" to shown())
+        log.belief(
+            "started",
+            "vm" to settings.vm.text,
+            "incarnation" to incarnation.number,
+            "settings" to settings.copy(peerSecrets = emptyList()).toString()
+        )
         gauges()
         views.forEach { scope.launch { it.follow() } }
         scope.launch { peers.start(scope, this@Gateway) }
         settings.peerSeeds.filter { it != settings.peers }.forEach { peers.keepLink(scope, it, this) }
         scope.launch { members.keepRegistered { membersView.objects } }
         scope.launch { members.removeSilent { membersView.objects } }
-        scope.launch { exchange.tellForever(incarnation, fleet) }
-        scope.launch { exchange.tellPromptsForever(fleet) }
-        scope.launch { exchange.tellUsageForever(incarnation, fleet.quota) }
+        scope.launch { news.tellStatusForever() }
+        scope.launch { news.tellPromptsForever() }
+        scope.launch { news.tellUsageForever() }
         scope.launch { rollout.run(scope) }
         front = FrontServer(group, reception).start(SocketAddress.of(settings.callers))
         ReadinessServer(group, ::isReady, records.metrics::text).start(SocketAddress.of(settings.readiness))
@@ -102,7 +106,7 @@
             }
             is PeerMessage.UsageTold ->
                 fleet.quota.report(from, message.incarnation, message.usage, MonotonicTime.now())
-            is PeerMessage.PromptsRead -> promptsRead(message)
+            is PeerMessage.PromptsRead -> exchange.promptsRead(message, fleet.directory)
             is PeerMessage.ViewWanted -> exchange.share(from, message)
             is PeerMessage.ViewContent -> exchange.adopt(from, message)
             is PeerMessage.ReplicaLoading -> rollout.loading(message)
@@ -111,13 +115,6 @@
         }
     }
 
-    private fun promptsRead(message: PeerMessage.PromptsRead) {
-        val now = MonotonicTime.now()
-        message.steps.forEach { (replica, steps) ->
-            steps.forEach { fleet.directory.record(BlockHash(it), ReplicaId(replica), now) }
-        }
-    }
-
     override suspend fun linked(peer: VmId) = log.belief("peer linked", "peer" to peer.text)
 
     /**
@@ -158,8 +155,6 @@
         records.metrics.gauge("guavapath.gateway.reachable.share") { fleet.quota.reachableShare(MonotonicTime.now()) }
     }
 
-    private fun shown() = settings.copy(peerSecrets = emptyList()).toString()
-
     private companion object {
         val MEMBERS = Members.KIND
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
@@ -1,13 +1,12 @@
 package org.guavapath.daemon.gateway
 
-import kotlinx.coroutines.delay
 import kotlinx.serialization.json.Json
 import org.guavapath.core.fleet.ReplicaId
-import org.guavapath.core.identity.Incarnation
 import org.guavapath.core.identity.VmId
+import org.guavapath.core.placement.PromptDirectory
 import org.guavapath.core.placement.ReplicaBook
 import org.guavapath.core.placement.ReplicaLoad
-import org.guavapath.core.quota.FleetQuota
+import org.guavapath.core.routing.BlockHash
 import org.guavapath.core.store.Listing
 import org.guavapath.core.store.Revision
 import org.guavapath.core.store.StoredObject
@@ -32,38 +31,6 @@
     private val statuses = HashMap<VmId, PeerMessage.FleetStatus>()
     private val behindSince = HashMap<StoreView, MonotonicTime>()
 
-    /** Tells the others this gateway's status, at once when it changes and now and then when it does not. */
-    suspend fun tellForever(incarnation: Incarnation, fleet: FleetState) {
-        var last: PeerMessage.FleetStatus? = null
-        var quiet = 0
-        while (true) {
-            delay(INTERVAL)
-            val next = status(incarnation, fleet.quota, fleet.book)
-            quiet = if (next == last) quiet + 1 else 0
-            if (quiet % QUIET_INTERVALS == 0) peers.sendToAll(next)
-            last = next
-        }
-    }
-
-    /** Tells the others of admissions that use up a large part of a limit, without waiting for the next status. */
-    suspend fun tellUsageForever(incarnation: Incarnation, quota: FleetQuota) {
-        while (true) {
-            delay(URGENT_INTERVAL)
-            if (quota.hasUrgentNews) peers.sendToAll(PeerMessage.UsageTold(incarnation, quota.tell()))
-        }
-    }
-
-    /** Tells the others which replicas read which shared parts of prompts. */
-    suspend fun tellPromptsForever(fleet: FleetState) {
-        while (true) {
-            delay(PROMPT_INTERVAL)
-            val news = fleet.directory.takeNews()
-            if (news.isEmpty()) continue
-            val byReplica = news.entries.groupBy({ it.value.text }, { it.key.bits })
-            peers.sendToAll(PeerMessage.PromptsRead(byReplica))
-        }
-    }
-
     /** Takes over what [from] tells about itself. */
     fun heard(from: VmId, status: PeerMessage.FleetStatus, book: ReplicaBook) {
         val now = MonotonicTime.now()
@@ -75,6 +42,14 @@
         views.forEach { catchUp(it, from, Revision(status.views[it.kind.text] ?: 0), now) }
     }
 
+    /** Takes over which replicas read which shared parts of prompts. */
+    fun promptsRead(message: PeerMessage.PromptsRead, directory: PromptDirectory) {
+        val now = MonotonicTime.now()
+        message.steps.forEach { (replica, steps) ->
+            steps.forEach { directory.record(BlockHash(it), ReplicaId(replica), now) }
+        }
+    }
+
     /** Sends [to] this gateway's copy of a kind. */
     fun share(to: VmId, wanted: PeerMessage.ViewWanted) {
         val view = views.firstOrNull { it.kind.text == wanted.kind } ?: return
@@ -117,7 +92,8 @@
                 .all { (status.views[it.kind.text] ?: 0) >= it.newestChange.number }
     }
 
-    private fun isServed() = views.all { it.isServed } && !lease.isFailing
+    /** Whether the store serves this gateway. */
+    fun isServed() = views.all { it.isServed } && !lease.isFailing
 
     private fun catchUp(view: StoreView, from: VmId, theirs: Revision, now: MonotonicTime) {
         if (theirs <= view.asOf) {
@@ -130,25 +106,7 @@
         peers.send(from, PeerMessage.ViewWanted(view.kind.text))
     }
 
-    private fun status(incarnation: Incarnation, quota: FleetQuota, book: ReplicaBook) = PeerMessage.FleetStatus(
-        incarnation = incarnation,
-        views = views.associate { it.kind.text to it.newestChange.number },
-        usage = quota.tell(),
-        loads = book.all.filter { it.ownLoad != ReplicaLoad.NONE }
-            .associate { it.entry.id.text to PeerMessage.SharedLoad(it.ownLoad.promptTokens, it.ownLoad.requests) },
-        isServedByStore = isServed(),
-        rollout = lease.known,
-    )
-
     private companion object {
-        /** Requests with the same beginning often come within a second of each other. */
-        val PROMPT_INTERVAL = 50.milliseconds
-        val URGENT_INTERVAL = 20.milliseconds
-        val INTERVAL = 250.milliseconds
-
-        /** An unchanged status is told once in a while, as a sign of life. */
-        const val QUIET_INTERVALS = 3
-
         /** Watches bring a change within this time while the store serves this gateway. */
         val USUAL_DELAY = 600.milliseconds
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Reception.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Reception.kt
@@ -70,7 +70,8 @@
         val service = route.targetFor(decoded.id)?.let { active.services[it] }
             ?: refuse(Refusal(DispatchCode.NoEndpoint))
         val cost = workspace?.let { charge(it, decoded) } ?: 0
-        return AdmittedRequest(request, decoded, route, service, workspace, cost, active.cacheStore)
+        val destination = Destination(service, active.cacheStore)
+        return AdmittedRequest(request, decoded, route, destination, workspace, cost)
     }
 
     private fun workspace(active: FleetConfiguration, route: FleetRoute, request: IncomingRequest): FleetWorkspace? {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
@@ -106,7 +106,8 @@
 
     companion object {
         private val REPORT_LIMIT = 500.milliseconds
-        /** Replicas answer in milliseconds; an order without an answer is given again, as it may be carried out late. */
+
+        /** Replicas answer in milliseconds; an order without an answer is given again. */
         private val ORDER_LIMIT = 200.milliseconds
 
         /** Reports lag by 100 ms; a load takes 210 ms after the last run has ended. */
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
@@ -13,6 +13,7 @@
 import org.guavapath.core.identity.RequestId
 import org.guavapath.platform.wire.ReplyHead
 import java.net.ServerSocket
+import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
@@ -70,22 +71,19 @@
 
     /** Answers each request on each connection with what [answer] returns for its identity. */
     private fun serve(answer: (String) -> String) = thread(isDaemon = true) {
-        while (!server.isClosed) {
-            val socket = runCatching { server.accept() }.getOrNull() ?: break
-            thread(isDaemon = true) {
-                val input = socket.getInputStream().bufferedReader()
-                while (true) {
-                    val lines = generateSequence { input.readLine()?.takeIf { it.isNotEmpty() } }.toList()
-                    if (lines.isEmpty()) break
-                    val id = lines.first { it.startsWith("Attempt-Id") }.substringAfter(": ")
-                    val text = answer(id)
-                    socket.getOutputStream().write(text.removeSuffix(CLOSE).toByteArray())
-                    if (text.endsWith(CLOSE)) {
-                        socket.close()
-                        break
-                    }
-                }
-            }
+        generateSequence { runCatching { server.accept() }.getOrNull() }
+            .forEach { socket -> thread(isDaemon = true) { socket.use { serve(it, answer) } } }
+    }
+
+    private fun serve(socket: Socket, answer: (String) -> String) {
+        val input = socket.getInputStream().bufferedReader()
+        var isOpen = true
+        while (isOpen) {
+            val head = generateSequence { input.readLine()?.takeIf { it.isNotEmpty() } }.toList()
+            val id = head.firstOrNull { it.startsWith("Attempt-Id") }?.substringAfter(": ")
+            val text = id?.let(answer).orEmpty()
+            socket.getOutputStream().write(text.removeSuffix(CLOSE).toByteArray())
+            isOpen = id != null && !text.endsWith(CLOSE)
         }
     }
 
--- a/standins/src/main/kotlin/org/guavapath/standins/platform/ObjectStore.kt
+++ b/standins/src/main/kotlin/org/guavapath/standins/platform/ObjectStore.kt
@@ -1,45 +1,108 @@
 package org.guavapath.standins.platform
 
+import kotlinx.serialization.json.JsonElement
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
 
-/** A value and its version. */
-internal class StoredObject(val text: String, val version: Long)
+private const val LONGEST_HISTORY = 2_000
 
-/** The result of a conditional write. */
+/** An object of a kind with the revision of its last change. */
+internal class StandInObject(val name: String, val value: JsonElement, val revision: Long, val createdRevision: Long)
+
+/** One change in the store's history. */
+internal class StandInChange(val kind: String, val present: StandInObject, val isRemoved: Boolean)
+
+/** The result of a write. */
 internal sealed class WriteResult {
-    /** The write took effect; the object has [version] now, 0 if it was removed. */
-    data class Written(val version: Long) : WriteResult()
+    /** The write took effect. */
+    class Written(val present: StandInObject) : WriteResult()
+
+    /** The object is not as the condition says. */
+    class Conflict(val present: StandInObject) : WriteResult()
 
-    /** The object had [version] instead of the expected one. */
-    data class Conflict(val version: Long) : WriteResult()
+    /** The object does not exist. */
+    data object Missing : WriteResult()
 }
 
-/** Versioned objects in memory. Versions come from one counter, so a recreated object never repeats one. */
+/** Objects by kind and name in memory, with one revision counter and a bounded history. */
 internal class ObjectStore {
     private val lock = ReentrantLock()
     private val changed = lock.newCondition()
-    private val objects = sortedMapOf<String, StoredObject>()
-    private var lastVersion = 0L
+    private val objects = HashMap<String, java.util.TreeMap<String, StandInObject>>()
+    private val history = ArrayDeque<StandInChange>()
+    private var forgottenUpTo = 0L
 
-    fun read(name: String): StoredObject? = lock.withLock { objects[name] }
+    /** The revision of the last change. */
+    var revision = 1L
+        private set
 
-    fun names(prefix: String): List<String> = lock.withLock { objects.keys.filter { it.startsWith(prefix) } }
+    fun list(kind: String): List<StandInObject> = lock.withLock { objects[kind]?.values?.toList().orEmpty() }
 
-    fun write(name: String, text: String?, expectedVersion: Long): WriteResult = lock.withLock {
-        val current = objects[name]?.version ?: 0
-        if (current != expectedVersion) return WriteResult.Conflict(current)
-        lastVersion += 1
-        if (text == null) objects.remove(name) else objects[name] = StoredObject(text, lastVersion)
-        changed.signalAll()
-        WriteResult.Written(if (text == null) 0 else lastVersion)
+    fun read(kind: String, name: String): StandInObject? = lock.withLock { objects[kind]?.get(name) }
+
+    /** Creates an object that must not exist. */
+    fun create(kind: String, name: String, value: JsonElement): WriteResult = lock.withLock {
+        val present = read(kind, name)
+        if (present != null) WriteResult.Conflict(present) else put(kind, name, value, createdRevision = null)
+    }
+
+    /** Replaces an object; [condition] is the revision that it must have, null for any. */
+    fun replace(kind: String, name: String, value: JsonElement, condition: Long?): WriteResult = lock.withLock {
+        val present = read(kind, name)
+        when {
+            present == null -> WriteResult.Missing
+            condition != null && present.revision != condition -> WriteResult.Conflict(present)
+            present.value == value -> WriteResult.Written(present)
+            else -> put(kind, name, value, present.createdRevision)
+        }
+    }
+
+    /** Removes an object under the same condition as [replace]. */
+    fun remove(kind: String, name: String, condition: Long?): WriteResult = lock.withLock {
+        val present = read(kind, name)
+        when {
+            present == null -> WriteResult.Missing
+            condition != null && present.revision != condition -> WriteResult.Conflict(present)
+            else -> {
+                objects[kind]?.remove(name)
+                revision += 1
+                record(StandInChange(kind, StandInObject(name, present.value, revision, present.createdRevision), true))
+                WriteResult.Written(present)
+            }
+        }
     }
 
-    /** Waits until the object's version differs from [version], at most [milliseconds]; null if it did not change. */
-    fun awaitChange(name: String, version: Long, milliseconds: Long): StoredObject? = lock.withLock {
+    /** Waits for changes of [kind] after [after]; null if the history since then is gone. */
+    fun awaitChanges(kind: String, after: Long, milliseconds: Long): List<StandInChange>? = lock.withLock {
         var left = TimeUnit.MILLISECONDS.toNanos(milliseconds)
-        while ((objects[name]?.version ?: 0) == version && left > 0) left = changed.awaitNanos(left)
-        objects[name]?.takeIf { it.version != version }
+        while (after >= forgottenUpTo && changesAfter(kind, after).isEmpty() && left > 0) {
+            left = changed.awaitNanos(left)
+        }
+        if (after < forgottenUpTo) null else changesAfter(kind, after)
+    }
+
+    /** Drops the whole history; watches from before end. */
+    fun forgetHistory() = lock.withLock {
+        history.clear()
+        forgottenUpTo = revision
+        changed.signalAll()
+    }
+
+    private fun changesAfter(kind: String, after: Long) =
+        history.filter { it.kind == kind && it.present.revision > after }
+
+    private fun put(kind: String, name: String, value: JsonElement, createdRevision: Long?): WriteResult {
+        revision += 1
+        val next = StandInObject(name, value, revision, createdRevision ?: revision)
+        objects.getOrPut(kind) { java.util.TreeMap() }[name] = next
+        record(StandInChange(kind, next, isRemoved = false))
+        return WriteResult.Written(next)
+    }
+
+    private fun record(change: StandInChange) {
+        history.addLast(change)
+        if (history.size > LONGEST_HISTORY) forgottenUpTo = history.removeFirst().present.revision
+        changed.signalAll()
     }
 }
--- a/standins/src/main/kotlin/org/guavapath/standins/platform/PlatformStandIn.kt
+++ b/standins/src/main/kotlin/org/guavapath/standins/platform/PlatformStandIn.kt
@@ -1,30 +1,40 @@
 /**
- * Stand-in of the platform: an object API with versions, conditional updates and watches, and the
- * list of VMs.
+ * Stand-in of the platform's store: objects by kind and name, with revisions, conditional writes and watches.
  *
- * `GET|PUT|DELETE /objects/NAME` with the header `X-Expected-Version`, `GET /watch/NAME?after=V`,
- * `GET /names?prefix=P`, `GET|PUT /vms`, and `PUT /faults` for tests.
+ * `GET|POST /objects/KIND`, `GET|PUT|DELETE /objects/KIND/NAME`; `PUT /faults`, `POST /standin/forget` and
+ * `GET /standin/calls` serve tests.
  */
 package org.guavapath.standins.platform
 
 import io.javalin.Javalin
 import io.javalin.http.Context
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonObjectBuilder
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
 import org.guavapath.standins.loopbackServer
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
 
-private const val LARGEST_VALUE_BYTES = 1_000_000
+private const val LARGEST_VALUE_BYTES = 1_048_576
 private const val LONGEST_WATCH_MILLISECONDS = 30_000L
+private const val PAGE_SIZE = 500
 private const val OK = 200
-private const val NOT_MODIFIED = 304
+private const val BAD_REQUEST = 400
 private const val NOT_FOUND = 404
 private const val CONFLICT = 409
+private const val GONE = 410
 private const val TOO_LARGE = 413
 private const val UNAVAILABLE = 503
-private const val VERSION_HEADER = "X-Object-Version"
-private const val EXPECTED_HEADER = "X-Expected-Version"
 
 /** Faults that a test sets: an outage, the share of writes whose answers are lost, and a delay of each call. */
 @Serializable
@@ -43,19 +53,15 @@
     @Volatile
     private var faults = PlatformFaults()
 
-    @Volatile
-    private var vms = "[]"
-
     private val server: Javalin = loopbackServer(port) {
         before { context -> beforeCall(context) }
-        get("/objects/<name>") { read(it) }
-        put("/objects/<name>") { write(it, it.body()) }
-        delete("/objects/<name>") { write(it, null) }
-        get("/watch/<name>") { watch(it) }
-        get("/names") { it.json(Json.encodeToString(store.names(it.queryParam("prefix").orEmpty()))) }
-        get("/vms") { it.json(vms) }
-        put("/vms") { vms = it.body() }
+        get("/objects/{kind}") { if (it.queryParam("watch") == null) list(it) else watch(it) }
+        post("/objects/{kind}") { create(it) }
+        get("/objects/{kind}/{name}") { read(it) }
+        put("/objects/{kind}/{name}") { replace(it) }
+        delete("/objects/{kind}/{name}") { remove(it) }
         put("/faults") { faults = Json.decodeFromString(PlatformFaults.serializer(), it.body()) }
+        post("/standin/forget") { store.forgetHistory() }
         get("/standin/calls") { it.result(calls.get().toString()) }
     }
 
@@ -76,40 +82,96 @@
         }
     }
 
-    private fun read(context: Context) = answer(context, store.read(context.pathParam("name")), NOT_FOUND)
+    private fun list(context: Context) {
+        val after = context.queryParam("after")
+        val asOf = store.revision
+        val rest = store.list(context.pathParam("kind")).filter { after == null || it.name > after }
+        answer(context, OK) {
+            putJsonArray("items") { rest.take(PAGE_SIZE).forEach { add(jsonOf(it)) } }
+            put("truncated", rest.size > PAGE_SIZE)
+            put("asOf", asOf)
+        }
+    }
 
     private fun watch(context: Context) {
-        val after = context.queryParam("after")?.toLongOrNull() ?: 0
-        val wait = context.queryParam("wait")?.toLongOrNull() ?: LONGEST_WATCH_MILLISECONDS
-        val name = context.pathParam("name")
-        answer(context, store.awaitChange(name, after, minOf(wait, LONGEST_WATCH_MILLISECONDS)), NOT_MODIFIED)
+        val after = context.queryParam("watch")?.toLongOrNull() ?: 0
+        val wait = context.queryParam("waitMs")?.toLongOrNull() ?: LONGEST_WATCH_MILLISECONDS
+        val changes = store.awaitChanges(context.pathParam("kind"), after, minOf(wait, LONGEST_WATCH_MILLISECONDS))
+        when {
+            faults.down -> context.status(UNAVAILABLE)
+            changes == null -> context.status(GONE)
+            else -> answer(context, OK) {
+                putJsonArray("events") { changes.forEach { add(jsonOf(it)) } }
+                put("asOf", maxOf(after, changes.lastOrNull()?.present?.revision ?: after))
+            }
+        }
     }
 
-    private fun answer(context: Context, value: StoredObject?, otherwise: Int) {
-        if (faults.down) {
-            context.status(UNAVAILABLE)
-        } else if (value == null) {
-            context.status(otherwise)
-        } else {
-            context.status(OK).header(VERSION_HEADER, value.version.toString()).result(value.text)
-        }
+    private fun read(context: Context) {
+        val present = store.read(context.pathParam("kind"), context.pathParam("name"))
+        if (present == null) context.status(NOT_FOUND) else context.status(OK).json(jsonOf(present).toString())
+    }
+
+    private fun create(context: Context) = writing(context) { body ->
+        val name = checkNotNull(body["metadata"]).jsonObject.getValue("name").jsonPrimitive.content
+        store.create(context.pathParam("kind"), name, body["spec"] ?: JsonNull)
+    }
+
+    private fun replace(context: Context) = writing(context) { body ->
+        val condition = body["metadata"]?.jsonObject?.get("revision")?.jsonPrimitive?.long
+        store.replace(context.pathParam("kind"), context.pathParam("name"), body["spec"] ?: JsonNull, condition)
     }
 
-    private fun write(context: Context, text: String?) {
-        val expected = context.header(EXPECTED_HEADER)?.toLongOrNull() ?: 0
-        if (text != null && text.length > LARGEST_VALUE_BYTES) {
+    private fun remove(context: Context) = answer(
+        context,
+        store.remove(
+            context.pathParam("kind"),
+            context.pathParam("name"),
+            context.queryParam("revision")?.toLongOrNull(),
+        ),
+    )
+
+    private fun writing(context: Context, write: (JsonObject) -> WriteResult) {
+        val text = context.body()
+        if (text.length > LARGEST_VALUE_BYTES) {
             context.status(TOO_LARGE)
             return
         }
-        when (val result = store.write(context.pathParam("name"), text, expected)) {
-            is WriteResult.Written -> context.status(OK).header(VERSION_HEADER, result.version.toString())
-            is WriteResult.Conflict -> context.status(CONFLICT).header(VERSION_HEADER, result.version.toString())
+        try {
+            answer(context, write(Json.parseToJsonElement(text).jsonObject))
+        } catch (exception: SerializationException) {
+            context.status(BAD_REQUEST).result(exception.message.orEmpty())
         }
-        if (random.nextDouble() < faults.lostAnswerShare) context.status(UNAVAILABLE).removeVersion()
     }
 
     /** A lost answer looks to the client like an outage although the write took effect. */
-    private fun Context.removeVersion() {
-        res().setHeader(VERSION_HEADER, null)
+    private fun answer(context: Context, result: WriteResult) {
+        when (result) {
+            is WriteResult.Written -> context.status(OK).json(jsonOf(result.present).toString())
+            is WriteResult.Conflict -> context.status(CONFLICT).json(jsonOf(result.present).toString())
+            WriteResult.Missing -> context.status(NOT_FOUND)
+        }
+        if (random.nextDouble() < faults.lostAnswerShare) context.status(UNAVAILABLE).result("")
+    }
+}
+
+private fun answer(context: Context, status: Int, build: JsonObjectBuilder.() -> Unit) {
+    context.status(status).json(buildJsonObject(build).toString())
+}
+
+private fun jsonOf(present: StandInObject): JsonObject = buildJsonObject {
+    putJsonObject("metadata") {
+        put("name", present.name)
+        put("revision", present.revision)
+        put("createdRev", present.createdRevision)
+        putJsonArray("finalizers") { }
+        put("deleting", false)
     }
+    put("spec", present.value)
+    put("status", JsonNull)
+}
+
+private fun jsonOf(change: StandInChange): JsonObject = buildJsonObject {
+    put("object", jsonOf(change.present))
+    put("deleted", change.isRemoved)
 }
