--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Rehearsal.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Rehearsal.kt
@@ -85,7 +85,7 @@
 }
 
 /** A store that holds the sample and takes no writes. */
-private class SampleStore(sample: SampleFleet) : ObjectStore {
+internal class SampleStore(sample: SampleFleet) : ObjectStore {
     private val objects = mapOf(
         StoreKinds.CONFIGURATIONS to stored(SampleFleet.CONFIGURATION_NAME, sample.configuration),
         StoreKinds.REPLICAS to stored(SampleFleet.REPLICA_NAME, sample.replica),
--- /dev/null
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
@@ -0,0 +1,155 @@
+package org.guavapath.daemon.gateway
+
+import org.guavapath.core.identity.FailureDomainName
+import org.guavapath.core.identity.VmId
+import org.guavapath.platform.wire.SampleFleet
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+private const val LOOPBACK = "127.0.0.1"
+
+/** One gateway before one replica, over loopback; the store is in memory. */
+class GatewayTest {
+    private val replica = ServerSocket(0, 100, InetAddress.getByName(LOOPBACK))
+    private val sample = SampleFleet("$LOOPBACK:${replica.localPort}")
+    private val callers = freePort()
+    private val readiness = freePort()
+    private val heads = LinkedBlockingQueue<List<String>>()
+    private val closed = LinkedBlockingQueue<Long>()
+    private val gateway = Gateway(settings(), SampleStore(sample))
+
+    @Volatile
+    private var answer: String? = sample.answer
+
+    init {
+        thread(isDaemon = true) {
+            generateSequence { runCatching { replica.accept() }.getOrNull() }
+                .forEach { socket -> thread(isDaemon = true) { serve(socket) } }
+        }
+        gateway.start()
+        awaitReady()
+    }
+
+    @AfterTest
+    fun stop() = replica.close()
+
+    private fun settings() = GatewaySettings(
+        vm = VmId("test"),
+        failureDomain = FailureDomainName("domain"),
+        callers = "$LOOPBACK:$callers",
+        readiness = "$LOOPBACK:$readiness",
+        peers = "$LOOPBACK:${freePort()}",
+        store = "$LOOPBACK:1",
+        peerSecrets = listOf("a secret of this test"),
+        isFirstStart = true,
+        drainMilliseconds = 1_000,
+        repeatRatio = 1.0,
+        repeatWindowSeconds = 1,
+        repeatSlack = 1.0,
+    )
+
+    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+    /** Takes requests, answers each if an answer is set, and notes when the gateway closes the connection. */
+    private fun serve(socket: Socket) = runCatching {
+        val reader = socket.getInputStream().bufferedReader()
+        var head = generateSequence { reader.readLine()?.takeIf { it.isNotEmpty() } }.toList()
+        while (head.isNotEmpty()) {
+            heads.add(head)
+            repeat(2) { reader.read() }
+            answer?.let { socket.getOutputStream().write(it.toByteArray()) }
+            head = generateSequence { reader.readLine()?.takeIf { it.isNotEmpty() } }.toList()
+        }
+        closed.add(System.nanoTime())
+    }
+
+    private fun awaitReady() {
+        val end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10)
+        while (ask(readiness, "GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n") != 200) {
+            check(System.nanoTime() < end) { "the gateway is not ready after 10 s" }
+            Thread.sleep(20)
+        }
+    }
+
+    private fun ask(port: Int, request: String): Int = Socket(LOOPBACK, port).use { socket ->
+        socket.getOutputStream().write(request.toByteArray())
+        socket.getInputStream().bufferedReader().readLine().orEmpty().split(' ').getOrElse(1) { "0" }.toInt()
+    }
+
+    @Test
+    fun aRequestIsAnsweredWholeAndItsKeyStaysHere() {
+        Socket(LOOPBACK, callers).use { socket ->
+            repeat(3) {
+                socket.getOutputStream().write(sample.request.toByteArray())
+                val reader = socket.getInputStream().bufferedReader()
+                val lines = generateSequence { reader.readLine() }.takeWhile { it != "0" }.toList()
+                reader.readLine()
+                assertTrue(lines.first().startsWith("HTTP/1.1 200"), lines.first())
+                assertTrue("data: a" in lines, lines.toString())
+                assertEquals(1, lines.count { it.startsWith("Server-Stamp") })
+            }
+        }
+        val head = assertNotNull(heads.poll(2, TimeUnit.SECONDS))
+        assertTrue(head.none { it.startsWith("Key:") }, head.toString())
+        assertTrue("Tenant: workspace" in head && "Expect-Version: 1" in head, head.toString())
+    }
+
+    /** Load pattern: callers that leave before the first event; the replica must not work on for them. */
+    @Test
+    fun workEndsWhenTheCallerLeavesWhileItWaits() {
+        answer = null
+        val socket = Socket(LOOPBACK, callers)
+        socket.getOutputStream().write(sample.request.toByteArray())
+        assertNotNull(heads.poll(2, TimeUnit.SECONDS), "the request did not reach the replica")
+        val leftAt = System.nanoTime()
+        socket.close()
+        val closedAt = assertNotNull(closed.poll(2, TimeUnit.SECONDS), "the replica works on")
+        assertTrue(closedAt - leftAt < TimeUnit.MILLISECONDS.toNanos(500))
+    }
+
+    @Test
+    fun hostileRequestsAreRefusedAndReachNoReplica() {
+        val head = sample.request.substringBefore("Content-Length")
+        val cases = listOf(
+            Triple("a key that is not known", sample.request.replace("Key: sample", "Key: other"), 401),
+            Triple("no key", sample.request.lines().filter { !it.startsWith("Key:") }.joinToString("\r\n"), 401),
+            Triple("a path without a route", sample.request.replace("/prompts/1", "/elsewhere/1"), 404),
+            Triple("dot segments", sample.request.replace("/prompts/1", "/prompts/../x"), 400),
+            Triple("encoded dot segments", sample.request.replace("/prompts/1", "/prompts/%2E%2e/x"), 400),
+            Triple("two lengths", head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}", 400),
+            Triple("a length and chunks", head + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+            Triple("an unknown encoding", head + "Transfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n", 400),
+            Triple("no identity", sample.request.replace("Attempt-Id", "Other-Id"), 400),
+        )
+        cases.forEach { (name, request, status) -> assertEquals(status, ask(callers, request), name) }
+        assertEquals(null, heads.poll(200, TimeUnit.MILLISECONDS))
+    }
+
+    @Test
+    fun aBrokenAnswerIsNeverPassedOnAsWhole() {
+        val begun = sample.answer.substringBefore("0\r\n")
+        val cases = listOf(
+            "an event is cut" to begun.dropLast(6),
+            "an answer without a signature" to sample.answer.replace("Server-Stamp", "Other"),
+            "no HTTP" to "rubbish\r\n\r\n",
+        )
+        cases.forEach { (name, broken) ->
+            answer = broken
+            val text = Socket(LOOPBACK, callers).use { socket ->
+                socket.soTimeout = 5_000
+                socket.getOutputStream().write(sample.request.toByteArray())
+                socket.getInputStream().bufferedReader().readLine().orEmpty()
+            }
+            assertTrue(!text.startsWith("HTTP/1.1 200"), "$name: $text")
+        }
+    }
+}
