--- a/core/src/main/kotlin/org/guavapath/core/quota/SharedBucket.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quota/SharedBucket.kt
@@ -26,6 +26,8 @@
     /** Tokens on one VM that the others should hear of at once; a few such amounts are a small part of the burst. */
     public val urgentAmount: Double get() = burst * URGENT_SHARE
 
+    private val fullLevel: Double get() = burst * maxOf(share, LEAST_BURST_SHARE)
+
     /** Whether the workspace has no limit. */
     public val isUnlimited: Boolean get() = ratePerSecond == 0.0
 
@@ -42,12 +44,16 @@
         isConfigured = true
     }
 
-    /** Uses only [part] of the rate and of the burst from [now] on, from 0 to 1. */
+    /**
+     * Uses only [part] of the rate from [now] on, from 0 to 1.
+     *
+     * Of the burst at least half stays: requests come in lumps, and a small part could hold none of them.
+     */
     public fun limitTo(part: Double, now: MonotonicTime) {
         require(part in 0.0..1.0) { "part is $part, allowed is 0 to 1" }
         refill(now)
         share = part
-        level = minOf(level, burst * share)
+        level = minOf(level, fullLevel)
     }
 
     /**
@@ -70,7 +76,7 @@
 
     /** Gives back [tokens] of an admitted request that did not run. */
     public fun refund(tokens: Long) {
-        level = minOf(level + tokens, burst * share)
+        level = minOf(level + tokens, fullLevel)
     }
 
     /** Returns how long it takes until a request is admitted if nothing else is. */
@@ -89,11 +95,12 @@
         if (now <= refilledAt) return
         val seconds = (now - refilledAt) / 1.seconds
         refilledAt = now
-        level = minOf(level + ratePerSecond * share * seconds, burst * share)
+        level = minOf(level + ratePerSecond * share * seconds, fullLevel)
     }
 
     private companion object {
         const val URGENT_SHARE = 0.06
+        const val LEAST_BURST_SHARE = 0.5
 
         /** Debt in bursts beyond which reports of other VMs no longer add up: they then describe a fault. */
         const val LARGEST_DEBT = 4.0
--- a/core/src/test/kotlin/org/guavapath/core/quota/FleetQuotaTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/quota/FleetQuotaTest.kt
@@ -113,6 +113,20 @@
         assertTrue(total > RATE * 15, "$total tokens in 16 s")
     }
 
+    /** Load pattern: the usual traffic in lumps, in a failure domain that is cut off. */
+    @Test
+    fun lumpsOfUsualTrafficPassInASmallPartOfTheFleet() {
+        val quota = FleetQuota(MonotonicTime.ZERO, isFirstStart = true)
+        quota.configure(listOf(limit), MonotonicTime.ZERO)
+        quota.setMembers((1 until VMS).map { VmId("vm-$it") }.toSet())
+        var refused = 0
+        repeat(20) { step ->
+            val now = MonotonicTime.ZERO + 10.seconds + 3.seconds * step
+            repeat(6) { if (quota.admit(workspace, RATE / 18, now) is QuotaVerdict.Exhausted) refused += 1 }
+        }
+        assertEquals(0, refused)
+    }
+
     @Test
     fun aRequestThatDidNotRunIsNotCharged() {
         val quota = FleetQuota(MonotonicTime.ZERO, isFirstStart = true)
