--- a/core/src/main/kotlin/org/guavapath/core/dispatch/Admission.kt
+++ b/core/src/main/kotlin/org/guavapath/core/dispatch/Admission.kt
@@ -24,13 +24,18 @@
  */
 public object Admission {
     /**
-     * Decides for a request that has waited for [elapsed] and would get its first event after [expected].
+     * Decides for a request that would get its first event after [expected].
+     *
+     * A request that was sent before and failed there is owed an answer as long as its caller waits: it has
+     * lost its time by no fault of its own, and may have run.
      *
      * @param target time within which the first event is worth most
      * @param timeLeft how long the caller still waits
+     * @param wasSent whether the request was sent to a replica before
      */
-    public fun decide(expected: Duration, elapsed: Duration, target: Duration, timeLeft: Duration): AdmissionDecision {
-        val latest = minOf(target * LATEST_FIRST_EVENT - elapsed, timeLeft * USABLE_TIME)
+    public fun decide(expected: Duration, target: Duration, timeLeft: Duration, wasSent: Boolean): AdmissionDecision {
+        val useful = timeLeft * USABLE_TIME
+        val latest = if (wasSent) useful else minOf(target * LATEST_FIRST_EVENT, useful)
         if (expected <= latest) return AdmissionDecision.Send
         val retryAfter = (expected - target / 2).coerceIn(SHORTEST_RETRY, LONGEST_RETRY)
         return AdmissionDecision.Refuse(retryAfter)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeSends.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeSends.kt
@@ -48,13 +48,9 @@
 
     /** Returns the refusal of a request that would be answered too late; one that has begun goes on in any case. */
     private fun overload(chosen: ScoredReplica): Refusal? {
-        val now = MonotonicTime.now()
-        val decision = Admission.decide(
-            chosen.expected,
-            now - admitted.request.receivedAt,
-            admitted.route.targetLatency,
-            admitted.endAt - now,
-        )
+        val timeLeft = admitted.endAt - MonotonicTime.now()
+        val target = admitted.route.targetLatency
+        val decision = Admission.decide(chosen.expected, target, timeLeft, wasSent = history.sends > 0)
         return (decision as? AdmissionDecision.Refuse)?.takeIf { !relay.hasBegun && admitted.request.prompt != null }
             ?.let { Refusal(DispatchCode.EndpointsBusy, "first event expected in ${chosen.expected}", it.retryAfter) }
     }
