--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
@@ -119,6 +119,7 @@
     @Test
     fun hostileRequestsAreRefusedAndReachNoReplica() {
         val head = sample.request.substringBefore("Content-Length")
+        val chunked = "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
         val cases = listOf(
             Triple("a key that is not known", sample.request.replace("Key: sample", "Key: other"), 401),
             Triple("no key", sample.request.lines().filter { !it.startsWith("Key:") }.joinToString("\r\n"), 401),
@@ -126,7 +127,7 @@
             Triple("dot segments", sample.request.replace("/prompts/1", "/prompts/../x"), 400),
             Triple("encoded dot segments", sample.request.replace("/prompts/1", "/prompts/%2E%2e/x"), 400),
             Triple("two lengths", head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}", 400),
-            Triple("a length and chunks", head + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+            Triple("a length and chunks", "${head}Content-Length: 2\r\n$chunked", 400),
             Triple("an unknown encoding", head + "Transfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n", 400),
             Triple("no identity", sample.request.replace("Attempt-Id", "Other-Id"), 400),
         )
