--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
@@ -95,12 +95,12 @@
                 reader.readLine()
                 assertTrue(lines.first().startsWith("HTTP/1.1 200"), lines.first())
                 assertTrue("data: a" in lines, lines.toString())
-                assertEquals(1, lines.count { it.startsWith("Server-Stamp") })
+                assertEquals(1, lines.count { sample.isSignature(it) })
             }
         }
         val head = assertNotNull(heads.poll(2, TimeUnit.SECONDS))
-        assertTrue(head.none { it.startsWith("Key:") }, head.toString())
-        assertTrue("Tenant: workspace" in head && "Expect-Version: 1" in head, head.toString())
+        assertTrue(head.none { sample.isKey(it) }, head.toString())
+        assertTrue(head.containsAll(sample.linesAtReplica), head.toString())
     }
 
     /** Load pattern: callers that leave before the first event; the replica must not work on for them. */
@@ -121,15 +121,15 @@
         val head = sample.request.substringBefore("Content-Length")
         val chunked = "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
         val cases = listOf(
-            Triple("a key that is not known", sample.request.replace("Key: sample", "Key: other"), 401),
-            Triple("no key", sample.request.lines().filter { !it.startsWith("Key:") }.joinToString("\r\n"), 401),
+            Triple("a key that is not known", sample.requestWithUnknownKey, 401),
+            Triple("no key", sample.requestWithoutKey, 401),
             Triple("a path without a route", sample.request.replace("/prompts/1", "/elsewhere/1"), 404),
             Triple("dot segments", sample.request.replace("/prompts/1", "/prompts/../x"), 400),
             Triple("encoded dot segments", sample.request.replace("/prompts/1", "/prompts/%2E%2e/x"), 400),
             Triple("two lengths", head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}", 400),
             Triple("a length and chunks", "${head}Content-Length: 2\r\n$chunked", 400),
             Triple("an unknown encoding", head + "Transfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n", 400),
-            Triple("no identity", sample.request.replace("Attempt-Id", "Other-Id"), 400),
+            Triple("no identity", sample.requestWithoutIdentity, 400),
         )
         cases.forEach { (name, request, status) -> assertEquals(status, ask(callers, request), name) }
         assertEquals(null, heads.poll(200, TimeUnit.MILLISECONDS))
@@ -140,7 +140,7 @@
         val begun = sample.answer.substringBefore("0\r\n")
         val cases = listOf(
             "an event is cut" to begun.dropLast(6),
-            "an answer without a signature" to sample.answer.replace("Server-Stamp", "Other"),
+            "an answer without a signature" to sample.unsignedAnswer,
             "no HTTP" to "rubbish\r\n\r\n",
         )
         cases.forEach { (name, broken) ->
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
@@ -12,6 +12,7 @@
 import org.guavapath.core.identity.FailureDomainName
 import org.guavapath.core.identity.RequestId
 import org.guavapath.platform.wire.ReplyHead
+import org.guavapath.platform.wire.SampleFleet
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
@@ -80,7 +81,7 @@
         var isOpen = true
         while (isOpen) {
             val head = generateSequence { input.readLine()?.takeIf { it.isNotEmpty() } }.toList()
-            val id = head.firstOrNull { it.startsWith("Attempt-Id") }?.substringAfter(": ")
+            val id = SampleFleet.identityIn(head)
             val text = id?.let(answer).orEmpty()
             socket.getOutputStream().write(text.removeSuffix(CLOSE).toByteArray())
             isOpen = id != null && !text.endsWith(CLOSE)
@@ -89,12 +90,13 @@
 
     private fun send(id: String): Heard {
         val heard = Heard()
-        val http = ReplicaRequests.call(HttpMethod.GET, "/", DefaultHttpHeaders().set("Attempt-Id", id), body = null)
+        val (name, value) = SampleFleet.identity(id)
+        val http = ReplicaRequests.call(HttpMethod.GET, "/", DefaultHttpHeaders().set(name, value), body = null)
         loop.execute { pool.send(ReplicaRequest(replica, http, RequestId(id), 5.seconds, MOST_OPEN), heard) }
         return heard
     }
 
-    private fun whole(id: String) = "HTTP/1.1 200 OK\r\nAttempt-Id: $id\r\nContent-Length: ${id.length}\r\n\r\n$id"
+    private fun whole(id: String) = SampleFleet.plainAnswer(id, body = id)
 
     @Test
     fun aReplicaThatIsGoneLosesAllItsFreeConnections() {
