--- a/core/src/main/kotlin/org/guavapath/core/quota/FleetQuota.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quota/FleetQuota.kt
@@ -25,8 +25,9 @@
      * The workspace is at its limit.
      *
      * @property retryAfter when enough will have been refilled
+     * @property bucket what this VM believed of the workspace's bucket
      */
-    public data class Exhausted(public val retryAfter: Duration) : QuotaVerdict()
+    public data class Exhausted(public val retryAfter: Duration, public val bucket: BucketReading) : QuotaVerdict()
 }
 
 /**
@@ -100,7 +101,7 @@
             admitted.merge(workspace, tokens, Long::plus)
             QuotaVerdict.Admitted
         } else {
-            QuotaVerdict.Exhausted(bucket.untilOpen(now))
+            QuotaVerdict.Exhausted(bucket.untilOpen(now), bucket.reading)
         }
     }
 
--- a/core/src/main/kotlin/org/guavapath/core/quota/SharedBucket.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quota/SharedBucket.kt
@@ -5,6 +5,21 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/**
+ * The state of a bucket behind a decision.
+ *
+ * @property level tokens that may be used, negative while a debt is worked off
+ * @property burst tokens that a full bucket holds
+ * @property ratePerSecond tokens that the fleet refills in a second
+ * @property share part of the rate that this VM uses, below 1 while it does not hear the whole fleet
+ */
+public data class BucketReading(
+    public val level: Long,
+    public val burst: Long,
+    public val ratePerSecond: Long,
+    public val share: Double,
+)
+
 /**
  * One workspace's token bucket as one VM sees it: its own admissions at once, those of other VMs as
  * their reports arrive.
@@ -28,6 +43,10 @@
 
     private val fullLevel: Double get() = burst * maxOf(share, LEAST_BURST_SHARE)
 
+    /** The present state, for the log. */
+    internal val reading: BucketReading
+        get() = BucketReading(level.toLong(), burst.toLong(), ratePerSecond.toLong(), share)
+
     /** Whether the workspace has no limit. */
     public val isUnlimited: Boolean get() = ratePerSecond == 0.0
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -5,10 +5,15 @@
 import org.guavapath.core.fleet.FleetRequest
 import org.guavapath.core.fleet.FleetVersion
 import org.guavapath.core.identity.RequestId
+import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.placement.PlacementResult
+import org.guavapath.core.quota.BucketReading
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.pipeline.Refusal
 
+/** What decided that [workspace] may not send a request that counts as [cost]. */
+internal class LimitInputs(val workspace: WorkspaceName, val cost: Long, val bucket: BucketReading)
+
 /**
  * One JSON line for each decision that touches a request or changes what this VM believes.
  *
@@ -18,7 +23,7 @@
     private val logger = KotlinLogging.logger("org.guavapath.gateway")
 
     /** A request was refused before it was admitted. */
-    fun refused(id: RequestId?, refusal: Refusal, version: FleetVersion?, route: String?, workspace: String?) =
+    fun refused(id: RequestId?, refusal: Refusal, version: FleetVersion?, route: String?, limit: LimitInputs?) =
         line(
             "refused",
             "requestId" to id?.text,
@@ -27,8 +32,13 @@
             "detail" to refusal.detail,
             "retryAfterMs" to refusal.retryAfter?.inWholeMilliseconds,
             "route" to route,
-            "workspace" to workspace,
             "configuration" to version?.number,
+            "workspace" to limit?.workspace?.text,
+            "cost" to limit?.cost,
+            "level" to limit?.bucket?.level,
+            "burst" to limit?.bucket?.burst,
+            "ratePerSecond" to limit?.bucket?.ratePerSecond,
+            "rateShare" to limit?.bucket?.share,
         )
 
     /** A replica was chosen for a request. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Reception.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Reception.kt
@@ -56,7 +56,7 @@
         exchange
     } catch (refused: Refused) {
         val id = RequestCodec.decode({ request.headers.get(it) }, request.receivedAt).getOrElse { null }?.id
-        refuse(refused.refusal, id, request, sink)
+        refuse(refused, id, request, sink)
         null
     }
 
@@ -89,16 +89,19 @@
         }
         return when (val verdict = context.fleet.quota.admit(workspace.name, cost, MonotonicTime.now())) {
             QuotaVerdict.Admitted -> cost
-            is QuotaVerdict.Exhausted -> refuse(Refusal(LimitCode.RateExceeded, retryAfter = verdict.retryAfter))
+            is QuotaVerdict.Exhausted -> throw Refused(
+                Refusal(LimitCode.RateExceeded, retryAfter = verdict.retryAfter),
+                LimitInputs(workspace.name, cost, verdict.bucket),
+            )
         }
     }
 
-    private fun refuse(refusal: Refusal, id: RequestId?, request: IncomingRequest, sink: AnswerSink) {
+    private fun refuse(refused: Refused, id: RequestId?, request: IncomingRequest, sink: AnswerSink) {
         val active = operator.configuration
         val route = active?.route(request.host, request.path)?.name
-        context.records.log.refused(id, refusal, active?.version, route, workspace = null)
-        context.records.metrics.refused(refusal.code)
-        sink.refuse(refusal, id)
+        context.records.log.refused(id, refused.refusal, active?.version, route, refused.limit)
+        context.records.metrics.refused(refused.refusal.code)
+        sink.refuse(refused.refusal, id)
     }
 
     private companion object {
@@ -114,6 +117,7 @@
 }
 
 /** The reason to refuse a request, thrown from the checks of [Reception] only. */
-private class Refused(val refusal: Refusal) : Exception(refusal.detail, null, false, false)
+private class Refused(val refusal: Refusal, val limit: LimitInputs? = null) :
+    Exception(refusal.detail, null, false, false)
 
 private fun refuse(refusal: Refusal): Nothing = throw Refused(refusal)
