--- a/core/src/main/kotlin/org/guavapath/core/quota/FleetQuota.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quota/FleetQuota.kt
@@ -93,12 +93,12 @@
         }
     }
 
-    /** Asks to admit a request of [workspace] that costs [tokens]. */
-    public fun admit(workspace: WorkspaceName, tokens: Long, now: MonotonicTime): QuotaVerdict {
+    /** Asks to admit a request of [workspace]. */
+    public fun admit(workspace: WorkspaceName, cost: RequestCost, now: MonotonicTime): QuotaVerdict {
         val bucket = buckets[workspace] ?: return QuotaVerdict.Admitted
         bucket.limitTo(reachableShare(now), now)
-        return if (bucket.admit(tokens, now)) {
-            admitted.merge(workspace, tokens, Long::plus)
+        return if (bucket.admit(cost, 1 + members.size, now)) {
+            admitted.merge(workspace, cost.tokens, Long::plus)
             QuotaVerdict.Admitted
         } else {
             QuotaVerdict.Exhausted(bucket.untilOpen(now), bucket.reading)
--- a/core/src/main/kotlin/org/guavapath/core/quota/SharedBucket.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quota/SharedBucket.kt
@@ -5,6 +5,14 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/**
+ * What a request counts as.
+ *
+ * @property tokens tokens, or 1 where the workspace counts requests
+ * @property isPlain whether it is no request to a model
+ */
+public data class RequestCost(public val tokens: Long, public val isPlain: Boolean)
+
 /**
  * The state of a bucket behind a decision.
  *
@@ -37,6 +45,7 @@
     private var level = 0.0
     private var refilledAt = createdAt
     private var isConfigured = false
+    private val plain = PlainAllowance(createdAt)
 
     /** Tokens on one VM that the others should hear of at once; a few such amounts are a small part of the burst. */
     public val urgentAmount: Double get() = burst * URGENT_SHARE
@@ -76,14 +85,19 @@
     }
 
     /**
-     * Admits [tokens] if the bucket holds anything, and returns whether it did.
+     * Admits a request if the bucket holds anything, and returns whether it did.
+     *
+     * A request is not made to wait until its whole cost is there: small ones would overtake it for ever. Plain
+     * ones do not wait until the debt of a prompt is worked off, either, while this VM hears the whole fleet.
      *
-     * A request is not made to wait until its whole cost is there: small ones would overtake it for ever.
+     * @param vms number of VMs that share the rate
      */
-    public fun admit(tokens: Long, now: MonotonicTime): Boolean {
+    public fun admit(cost: RequestCost, vms: Int, now: MonotonicTime): Boolean {
         refill(now)
-        val isAdmitted = isUnlimited || level > 0
-        if (isAdmitted && !isUnlimited) level -= tokens
+        plain.refill(ratePerSecond / vms, now)
+        val isPlainPassed = cost.isPlain && share == 1.0 && level <= 0 && plain.take(cost.tokens)
+        val isAdmitted = isUnlimited || level > 0 || isPlainPassed
+        if (isAdmitted && !isUnlimited) level -= cost.tokens
         return isAdmitted
     }
 
--- a/core/src/test/kotlin/org/guavapath/core/quota/FleetQuotaTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/quota/FleetQuotaTest.kt
@@ -49,7 +49,7 @@
                 val now = MonotonicTime.ZERO + elapsed
                 quotas.forEachIndexed { index, quota ->
                     val tokens = demand(index, elapsed)
-                    if (tokens > 0 && quota.admit(workspace, tokens, now) is QuotaVerdict.Admitted) {
+                    if (tokens > 0 && quota.admit(workspace, cost(tokens), now) is QuotaVerdict.Admitted) {
                         admissions.add(now to tokens)
                     }
                 }
@@ -84,6 +84,8 @@
         }
     }
 
+    private fun cost(tokens: Long) = RequestCost(tokens, isPlain = tokens == PLAIN)
+
     private fun allowed(window: Duration): Double = (RATE * (window / 1.seconds) + RATE) * (1 + OVER) + SLACK
 
     @Test
@@ -113,6 +115,38 @@
         assertTrue(total > RATE * 15, "$total tokens in 16 s")
     }
 
+    /** Load pattern: a limit lowered to a sixth of what the workspace sends, a quarter of it plain requests. */
+    @Test
+    fun plainRequestsDoNotWaitForTheDebtOfPrompts() {
+        val simulation = Simulation(VMS) { _, _ -> 0 }
+        val random = Random(1)
+        var askedPlain = 0
+        simulation.run(24.seconds) { _, _ ->
+            val isPlain = random.nextInt(4) == 0
+            when {
+                random.nextInt(ONE_IN) != 0 -> 0
+                isPlain -> PLAIN.also { askedPlain += 1 }
+                else -> random.nextLong(PLAIN * 5, PLAIN * 50)
+            }
+        }
+        val plain = simulation.admissions.count { it.second == PLAIN }
+        val prompts = simulation.admissions.sumOf { it.second } - plain * PLAIN
+        assertTrue(plain > askedPlain * 0.9, "$plain of $askedPlain plain requests were served")
+        assertTrue(prompts > RATE * 24 * 0.75, "prompts of $prompts tokens were served")
+        assertTrue(simulation.mostIn(WINDOW) <= allowed(WINDOW), "${simulation.mostIn(WINDOW)} tokens in a window")
+    }
+
+    /** Load pattern: plain requests alone at many times the limit, also while VMs are cut off. */
+    @Test
+    fun plainRequestsStayWithinTheStatedBound() {
+        listOf({ _: Int, _: Duration -> 0 }, { vm: Int, at: Duration -> if (at > 8.seconds && vm < 3) vm + 1 else 0 })
+            .forEach { groups ->
+                val simulation = Simulation(VMS, groups)
+                simulation.run(24.seconds) { _, _ -> PLAIN }
+                assertTrue(simulation.mostIn(WINDOW) <= allowed(WINDOW), "${simulation.mostIn(WINDOW)} in a window")
+            }
+    }
+
     /** Load pattern: the usual traffic in lumps, in a failure domain that is cut off. */
     @Test
     fun lumpsOfUsualTrafficPassInASmallPartOfTheFleet() {
@@ -122,7 +156,7 @@
         var refused = 0
         repeat(20) { step ->
             val now = MonotonicTime.ZERO + 10.seconds + 3.seconds * step
-            repeat(6) { if (quota.admit(workspace, RATE / 18, now) is QuotaVerdict.Exhausted) refused += 1 }
+            repeat(6) { if (quota.admit(workspace, cost(RATE / 18), now) is QuotaVerdict.Exhausted) refused += 1 }
         }
         assertEquals(0, refused)
     }
@@ -131,20 +165,20 @@
     fun aRequestThatDidNotRunIsNotCharged() {
         val quota = FleetQuota(MonotonicTime.ZERO, isFirstStart = true)
         quota.configure(listOf(limit), MonotonicTime.ZERO)
-        assertEquals(QuotaVerdict.Admitted, quota.admit(workspace, RATE, MonotonicTime.ZERO))
-        assertIs<QuotaVerdict.Exhausted>(quota.admit(workspace, RATE / 2, MonotonicTime.ZERO))
+        assertEquals(QuotaVerdict.Admitted, quota.admit(workspace, cost(RATE), MonotonicTime.ZERO))
+        assertIs<QuotaVerdict.Exhausted>(quota.admit(workspace, cost(RATE / 2), MonotonicTime.ZERO))
         quota.refund(workspace, RATE)
-        assertEquals(QuotaVerdict.Admitted, quota.admit(workspace, RATE / 2, MonotonicTime.ZERO))
+        assertEquals(QuotaVerdict.Admitted, quota.admit(workspace, cost(RATE / 2), MonotonicTime.ZERO))
     }
 
     @Test
     fun aRefusalTellsWhenTheTokensAreThere() {
         val quota = FleetQuota(MonotonicTime.ZERO, isFirstStart = true)
         quota.configure(listOf(limit), MonotonicTime.ZERO)
-        quota.admit(workspace, RATE, MonotonicTime.ZERO)
-        val verdict = assertIs<QuotaVerdict.Exhausted>(quota.admit(workspace, RATE / 4, MonotonicTime.ZERO))
+        quota.admit(workspace, cost(RATE), MonotonicTime.ZERO)
+        val verdict = assertIs<QuotaVerdict.Exhausted>(quota.admit(workspace, cost(RATE / 4), MonotonicTime.ZERO))
         val later = MonotonicTime.ZERO + verdict.retryAfter + 1.milliseconds
-        assertEquals(QuotaVerdict.Admitted, quota.admit(workspace, RATE / 4, later))
+        assertEquals(QuotaVerdict.Admitted, quota.admit(workspace, cost(RATE / 4), later))
     }
 
     /** Load pattern: one workspace beyond its limit sends small and large requests in turn. */
@@ -156,7 +190,7 @@
         repeat(4_000) { step ->
             val tokens = if (step % 2 == 0) 1_000L else LARGEST
             val now = MonotonicTime.ZERO + 5.milliseconds * step
-            if (quota.admit(workspace, tokens, now) is QuotaVerdict.Admitted) served.merge(tokens, 1, Int::plus)
+            if (quota.admit(workspace, cost(tokens), now) is QuotaVerdict.Admitted) served.merge(tokens, 1, Int::plus)
         }
         val (small, large) = (served[1_000L] ?: 0) to (served[LARGEST] ?: 0)
         assertTrue(large * 2 >= small, "$large large and $small small requests were admitted")
@@ -166,7 +200,7 @@
     fun aRestartedFleetStartsWithoutABurst() {
         val quota = FleetQuota(MonotonicTime.ZERO, isFirstStart = false)
         quota.configure(listOf(limit), MonotonicTime.ZERO)
-        assertIs<QuotaVerdict.Exhausted>(quota.admit(workspace, 1_000, MonotonicTime.ZERO))
+        assertIs<QuotaVerdict.Exhausted>(quota.admit(workspace, cost(1_000), MonotonicTime.ZERO))
     }
 
     private companion object {
@@ -182,6 +216,8 @@
 
         /** On each of 8 VMs a request of 35,000 tokens every 150 ms: fifty times the limit. */
         const val ONE_IN = 15
+
+        const val PLAIN = 200L
         val STEP = 10.milliseconds
         val WINDOW = 8.seconds
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Reception.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Reception.kt
@@ -9,6 +9,7 @@
 import org.guavapath.core.identity.KeyHash
 import org.guavapath.core.identity.RequestId
 import org.guavapath.core.quota.QuotaVerdict
+import org.guavapath.core.quota.RequestCost
 import org.guavapath.core.results.DispatchCode
 import org.guavapath.core.results.IdentityCode
 import org.guavapath.core.results.LimitCode
@@ -82,16 +83,17 @@
 
     private fun charge(workspace: FleetWorkspace, request: FleetRequest): Long {
         val prompt = request.prompt
-        val cost = when {
+        val tokens = when {
             !workspace.countsTokens -> 1
             prompt == null -> workspace.plainTokens
             else -> prompt.promptTokens + prompt.largestOutput
         }
+        val cost = RequestCost(tokens, isPlain = prompt == null)
         return when (val verdict = context.fleet.quota.admit(workspace.name, cost, MonotonicTime.now())) {
-            QuotaVerdict.Admitted -> cost
+            QuotaVerdict.Admitted -> tokens
             is QuotaVerdict.Exhausted -> throw Refused(
                 Refusal(LimitCode.RateExceeded, retryAfter = verdict.retryAfter),
-                LimitInputs(workspace.name, cost, verdict.bucket),
+                LimitInputs(workspace.name, tokens, verdict.bucket),
             )
         }
     }
