Links through hubs in each failure domain for fleets of more than 16 VMs; sources of a prompt are looked up once

Cause: every VM was linked with all others: 7,140 links at 85 VMs, 28,500 reports a second. Ruled out: fewer reports (the limits need them within 250 ms). Placement ranked all replicas anew for each candidate.

--- a/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -92,8 +92,6 @@
     private val directory: PromptDirectory,
     private val weights: NamedWeights,
 ) {
-    private val sources = PromptSources(book, directory)
-
     /** Chooses a replica for [request] at [now]. */
     public fun choose(request: PlacementRequest, now: MonotonicTime): PlacementResult {
         val listed = book.of(request.service)
@@ -104,8 +102,8 @@
         }
         val sound = current.filter { !it.health.isAvoided(now) && it.loadingUntil <= now }
         val candidates = sound.ifEmpty { current.filter { it.loadingUntil <= now } }.ifEmpty { current }
-        val holders = current.map { it.entry.id }.toSet()
-        val scored = candidates.map { score(it, request, holders, now) }
+        val lookup = Lookup(request, current.map { it.entry.id }.toSet(), now)
+        val scored = candidates.map { lookup.score(it) }
         val chosen = scored.minWith(compareBy<ScoredReplica> { it.cost }.thenBy { it.record.entry.id })
         return PlacementResult.Chosen(chosen, candidates.size)
     }
@@ -115,38 +113,41 @@
         return weights.outdatedFor(prompt.model, number, now) < LONGEST_OUTDATED
     }
 
-    private fun score(
-        record: ReplicaRecord,
-        request: PlacementRequest,
-        holders: Set<ReplicaId>,
-        now: MonotonicTime,
-    ): ScoredReplica {
-        val prompt = request.prompt
-        val penalty = penalty(record)
-        val load = record.load(now)
-        if (prompt == null) {
-            val expected = PLAIN_WORK * load.requests / maxOf(1, record.entry.slots)
-            return ScoredReplica(
-                record,
-                penalty + expected,
-                expected,
-                heldTokens = 0,
-                source = null,
-                path = null,
-                weights = null
-            )
+    /** What the candidates for one request have in common; replicas with the same weights share a path. */
+    private inner class Lookup(
+        private val request: PlacementRequest,
+        private val holders: Set<ReplicaId>,
+        private val now: MonotonicTime,
+    ) {
+        private val paths = HashMap<WeightsNumber?, Pair<PromptPath, PromptSources>>()
+
+        fun score(record: ReplicaRecord): ScoredReplica {
+            val prompt = request.prompt ?: return scorePlain(record)
+            val load = record.load(now)
+            val number = record.weights(prompt.model)
+            val (path, sources) = paths.getOrPut(number) { sourcesOf(prompt, number) }
+            val held = directory.heldTokens(path, record.entry.id, Certainty.LIKELY, now)
+            val source = sources.best(record.entry.id)
+            val fetched = maxOf(0, (source?.tokens ?: 0) - held)
+            val missing = maxOf(0, prompt.promptTokens - held - fetched)
+            val expected = batch(load, record.entry.slots) +
+                READ_TIME * (load.promptTokens + missing).toDouble() + FETCH_TIME * fetched
+            val isAway = held + fetched < path.sharedTokens && sources.home != record.entry.id
+            val cost = penalty(record) + expected + staleness(prompt, number, now) +
+                (if (isAway) AWAY_FROM_HOME else Duration.ZERO)
+            return ScoredReplica(record, cost, expected, held, source, path, number)
+        }
+
+        private fun scorePlain(record: ReplicaRecord): ScoredReplica {
+            val expected = PLAIN_WORK * record.load(now).requests / maxOf(1, record.entry.slots)
+            val cost = penalty(record) + expected
+            return ScoredReplica(record, cost, expected, heldTokens = 0, source = null, path = null, weights = null)
+        }
+
+        private fun sourcesOf(prompt: PromptShape, number: WeightsNumber?): Pair<PromptPath, PromptSources> {
+            val path = PromptPath.of(cacheSalt(request.cacheOwner, prompt.model, number), prompt.parts)
+            return path to PromptSources(book, directory, path, holders, request.cacheStore, now)
         }
-        val number = record.weights(prompt.model)
-        val path = PromptPath.of(cacheSalt(request.cacheOwner, prompt.model, number), prompt.parts)
-        val held = directory.heldTokens(path, record.entry.id, Certainty.LIKELY, now)
-        val source = sources.best(path, record.entry.id, holders, request.cacheStore, now)
-        val fetched = maxOf(0, (source?.tokens ?: 0) - held)
-        val missing = maxOf(0, prompt.promptTokens - held - fetched)
-        val expected = batch(load, record.entry.slots) +
-            READ_TIME * (load.promptTokens + missing).toDouble() + FETCH_TIME * fetched
-        val isAway = held + fetched < path.sharedTokens && sources.home(path, holders) != record.entry.id
-        val cost = penalty + expected + staleness(prompt, number, now) + (if (isAway) AWAY_FROM_HOME else Duration.ZERO)
-        return ScoredReplica(record, cost, expected, held, source, path, number)
     }
 
     private fun penalty(record: ReplicaRecord): Duration {
--- a/core/src/main/kotlin/org/guavapath/core/placement/PromptDirectory.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/PromptDirectory.kt
@@ -83,21 +83,25 @@
     /** Returns the tokens at the beginning of [path] that the store holds. */
     public fun storedTokens(path: PromptPath, now: MonotonicTime): Int = tokens(path, STORE, now, STORED_FOR)
 
-    /** Returns the one of [candidates] that holds most of [path] with [certainty] and the tokens, null if none does. */
-    public fun bestHolder(
+    /**
+     * Returns the two of [candidates] that hold most of [path] with [certainty], each with its tokens; fewer if
+     * fewer hold any. Of several that hold as much, the one that used it last is first.
+     */
+    internal fun bestHolders(
         path: PromptPath,
         candidates: Set<ReplicaId>,
         certainty: Certainty,
         now: MonotonicTime,
-    ): Pair<ReplicaId, Int>? {
-        for (index in path.steps.indices.reversed()) {
-            val newest = holders[path.steps[index]]?.usedAt.orEmpty()
+    ): List<Pair<ReplicaId, Int>> = path.steps.indices.reversed().asSequence()
+        .flatMap { index ->
+            holders[path.steps[index]]?.usedAt.orEmpty().entries
                 .filter { it.key in candidates && now - it.value < certainty.age }
-                .maxByOrNull { it.value }
-            if (newest != null) return newest.key to path.tokensUpTo[index]
+                .sortedByDescending { it.value }
+                .map { it.key to path.tokensUpTo[index] }
         }
-        return null
-    }
+        .distinctBy { it.first }
+        .take(2)
+        .toList()
 
     private fun tokens(path: PromptPath, holder: ReplicaId, now: MonotonicTime, age: Duration): Int {
         val deepest = path.steps.indexOfLast { step ->
--- a/core/src/main/kotlin/org/guavapath/core/placement/ReplicaBook.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/ReplicaBook.kt
@@ -88,10 +88,12 @@
         peerReports[peer] = PeerReport(load, now)
     }
 
-    /** Work of all VMs that reported lately and of this one. */
-    public fun load(now: MonotonicTime): ReplicaLoad {
+    /** Work of this VM and of all that reported lately, but for [except]. */
+    public fun load(now: MonotonicTime, except: Set<VmId> = emptySet()): ReplicaLoad {
         peerReports.values.removeIf { now - it.at > REPORT_AGE }
-        return peerReports.values.fold(ownLoad) { sum, report -> sum + report.load }
+        return peerReports.entries.fold(ownLoad) { sum, (peer, report) ->
+            if (peer in except) sum else sum + report.load
+        }
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/guavapath/core/quota/FleetQuota.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quota/FleetQuota.kt
@@ -5,6 +5,9 @@
  * charges its own buckets with what the others admitted, so all converge on the same level, late by one
  * report. A VM that does not hear from some members uses only the part of the rate and burst that falls
  * to those it hears: the groups of a partition together stay at the whole rate.
+ *
+ * In a large fleet hubs pass the totals on: to other hubs the sum of their own and their members' admissions, to
+ * each member the sum of all others'.
  */
 package org.guavapath.core.quota
 
@@ -30,6 +33,21 @@
     public data class Exhausted(public val retryAfter: Duration, public val bucket: BucketReading) : QuotaVerdict()
 }
 
+/**
+ * What one VM tells another of its admissions.
+ *
+ * @property incarnation incarnation of the VM that tells
+ * @property totals admitted tokens by workspace since that VM started
+ * @property vms number of VMs whose admissions are in the totals
+ * @property isOfMember whether the VM that tells is a member of this one, which has to pass the report on
+ */
+public data class UsageReport(
+    public val incarnation: Incarnation,
+    public val totals: Map<WorkspaceName, Long>,
+    public val vms: Int = 1,
+    public val isOfMember: Boolean = false,
+)
+
 /**
  * The limits of all workspaces on one VM.
  *
@@ -37,29 +55,40 @@
  * @param isFirstStart whether the whole fleet starts for the first time, so that nothing was used before
  */
 public class FleetQuota(private val startedAt: MonotonicTime, private val isFirstStart: Boolean) {
-    private class PeerTotals(var incarnation: Incarnation, var heardAt: MonotonicTime) {
+    private class PeerTotals(val incarnation: Incarnation) {
         val totals = HashMap<WorkspaceName, Long>()
+        var heardAt = MonotonicTime.ZERO
+        var vms = 1
     }
 
     private val buckets = HashMap<WorkspaceName, SharedBucket>()
     private val admitted = HashMap<WorkspaceName, Long>()
     private val told = HashMap<WorkspaceName, Long>()
     private val peers = HashMap<VmId, PeerTotals>()
+    private val relayed = RelayedUsage()
     private var members = emptySet<VmId>()
 
-    /** Whether this VM admitted so much that was not told that the others should hear of it at once. */
+    /** Whether this VM is a hub, which passes on what it hears. */
+    public var isHub: Boolean = false
+
+    private val toPassOn: Map<WorkspaceName, Long> get() = if (isHub) totals(relayed::all) else admitted
+
+    /** Whether so much was admitted and not told that the others should hear of it at once. */
     public val hasUrgentNews: Boolean
-        get() = admitted.any { (workspace, total) ->
+        get() = toPassOn.any { (workspace, total) ->
             val untold = Math.abs(total - (told[workspace] ?: 0))
-            untold > 0 && untold >= (buckets[workspace]?.urgentAmount ?: 0.0)
+            untold > 0 && untold >= (buckets[workspace]?.urgentAmount(1 + members.size) ?: 0.0)
         }
 
-    /** Returns the totals for a report to the other VMs. */
+    /** Returns the totals of this VM and its members for a report to its equals. */
     public fun tell(): Map<WorkspaceName, Long> {
-        told.putAll(admitted)
-        return admitted.toMap()
+        told.putAll(toPassOn)
+        return totals(relayed::ofMembers)
     }
 
+    /** Returns the totals of all VMs but [member] for a report to it. */
+    public fun tell(member: VmId): Map<WorkspaceName, Long> = totals { relayed.allBut(member, it) }
+
     /** Takes over the limits of [workspaces]. */
     public fun configure(workspaces: List<FleetWorkspace>, now: MonotonicTime) {
         val names = workspaces.map { it.name }.toSet()
@@ -76,23 +105,27 @@
         peers.keys.retainAll(others)
     }
 
-    /** Charges what [peer] admitted since its last report; the first report of an incarnation is the base. */
-    public fun report(peer: VmId, incarnation: Incarnation, totals: Map<WorkspaceName, Long>, now: MonotonicTime) {
+    /** Charges what [peer] tells since its last report; the first report of an incarnation is the base. */
+    public fun report(peer: VmId, report: UsageReport, now: MonotonicTime) {
         val known = peers[peer]
-        val entry = when {
-            known == null -> PeerTotals(incarnation, now).also { it.totals.putAll(totals) }
-            known.incarnation != incarnation -> PeerTotals(incarnation, now)
-            else -> known
-        }
+        val entry = known?.takeIf { it.incarnation == report.incarnation } ?: PeerTotals(report.incarnation)
+        if (known == null) entry.totals.putAll(report.totals)
         peers[peer] = entry
         entry.heardAt = now
-        totals.forEach { (workspace, total) ->
-            val before = entry.totals.put(workspace, total) ?: 0
+        entry.vms = report.vms
+        report.totals.forEach { (workspace, total) ->
+            val used = total - (entry.totals.put(workspace, total) ?: 0)
+            if (used != 0L) relayed.count(peer.takeIf { report.isOfMember }, workspace, used)
             val bucket = buckets[workspace]
-            if (total >= before) bucket?.charge(total - before, now) else bucket?.refund(before - total)
+            if (used >= 0) bucket?.charge(used, now) else bucket?.refund(-used)
         }
     }
 
+    /** Forgets [peer], whose admissions come by another way from now on; its next report is a new base. */
+    public fun forget(peer: VmId) {
+        peers.remove(peer)
+    }
+
     /** Asks to admit a request of [workspace]. */
     public fun admit(workspace: WorkspaceName, cost: RequestCost, now: MonotonicTime): QuotaVerdict {
         val bucket = buckets[workspace] ?: return QuotaVerdict.Admitted
@@ -115,10 +148,14 @@
     /** Part of the fleet that this VM hears, itself included, from 0 to 1. */
     public fun reachableShare(now: MonotonicTime): Double {
         if (members.isEmpty() || now - startedAt < SILENCE_LIMIT) return 1.0
-        val heard = members.count { member -> peers[member]?.let { now - it.heardAt < SILENCE_LIMIT } ?: false }
-        return (1.0 + heard) / (1.0 + members.size)
+        val heard = peers.values.filter { now - it.heardAt < SILENCE_LIMIT }.sumOf { it.vms }
+        return minOf(1.0, (1.0 + heard) / (1.0 + members.size))
     }
 
+    private fun totals(ofOthers: (WorkspaceName) -> Long): Map<WorkspaceName, Long> =
+        buckets.keys.filter { it in admitted || ofOthers(it) != 0L }
+            .associateWith { (admitted[it] ?: 0) + ofOthers(it) }
+
     private companion object {
         /** Reports come every 250 ms; four missing ones in a row mean that the VM is cut off or gone. */
         val SILENCE_LIMIT = 1200.milliseconds
--- a/core/src/main/kotlin/org/guavapath/core/quota/SharedBucket.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quota/SharedBucket.kt
@@ -47,8 +47,8 @@
     private var isConfigured = false
     private val plain = PlainAllowance(createdAt)
 
-    /** Tokens on one VM that the others should hear of at once; a few such amounts are a small part of the burst. */
-    public val urgentAmount: Double get() = burst * URGENT_SHARE
+    /** Tokens on one of [vms] VMs that the others should hear of at once; one such amount on each is half a burst. */
+    public fun urgentAmount(vms: Int): Double = burst * minOf(URGENT_SHARE, ALL_URGENT_SHARE / vms)
 
     private val fullLevel: Double get() = burst * maxOf(share, LEAST_BURST_SHARE)
 
@@ -133,6 +133,7 @@
 
     private companion object {
         const val URGENT_SHARE = 0.06
+        const val ALL_URGENT_SHARE = 0.5
         const val LEAST_BURST_SHARE = 0.5
 
         /** Debt in bursts beyond which reports of other VMs no longer add up: they then describe a fault. */
--- /dev/null
+++ b/core/src/main/kotlin/org/guavapath/core/topology/LinkPlan.kt
@@ -0,0 +1,84 @@
+/**
+ * Which VMs of a fleet keep links with each other.
+ *
+ * In a small fleet all VMs are linked with all. In a large one each failure domain has hubs: a VM is linked with the
+ * hubs of its own domain, hubs with the VMs of their domain and with all other hubs. The number of links on a VM
+ * then grows with the size of a domain at most, and what crosses domains with the number of domains.
+ */
+package org.guavapath.core.topology
+
+import org.guavapath.core.identity.FailureDomainName
+import org.guavapath.core.identity.VmId
+
+/** The part of one VM in the exchange between VMs. */
+public sealed class LinkRole {
+    /** Linked with all others; each tells of itself alone. */
+    public data object Equal : LinkRole()
+
+    /** Passes on what the members of its domain tell to the other hubs, and what those tell to its members. */
+    public data object Hub : LinkRole()
+
+    /** Tells one hub of its domain and hears all else from it. */
+    public data object Member : LinkRole()
+}
+
+/**
+ * The links of one VM.
+ *
+ * @property role its part in the exchange
+ * @property hubs VMs to exchange with as equals: all others in a small fleet, the other hubs for a hub; for a
+ *   member the hubs of its domain, the preferred one first
+ * @property members VMs that a hub serves, empty for all others
+ */
+public data class LinkPlan(
+    public val role: LinkRole,
+    public val hubs: List<VmId>,
+    public val members: Set<VmId>,
+) {
+    /** All VMs to keep a link with. */
+    public val linked: Set<VmId> get() = hubs.toSet() + members
+
+    /** Makes plans. */
+    public companion object {
+        /** Links with all others cost such a fleet less than the detour over hubs. */
+        private const val LARGEST_MESH = 16
+
+        /** The second takes over when the first is gone. */
+        private const val HUBS = 2
+
+        /**
+         * Returns the links of [self] in a fleet.
+         *
+         * @param domains the failure domain of each VM, [self] included
+         * @param unreachable VMs that [self] has tried to reach in vain; they are no hubs for it
+         * @throws IllegalArgumentException if [self] is not in the fleet
+         */
+        public fun of(self: VmId, domains: Map<VmId, FailureDomainName>, unreachable: Set<VmId>): LinkPlan {
+            val own = requireNotNull(domains[self]) { "$self is none of the ${domains.size} VMs" }
+            return if (domains.size <= LARGEST_MESH) {
+                LinkPlan(LinkRole.Equal, domains.keys.filter { it != self }.sorted(), emptySet())
+            } else {
+                withHubs(self, own, domains.entries.groupBy({ it.value }, { it.key }), unreachable - self)
+            }
+        }
+
+        private fun withHubs(
+            self: VmId,
+            own: FailureDomainName,
+            byDomain: Map<FailureDomainName, List<VmId>>,
+            unreachable: Set<VmId>,
+        ): LinkPlan {
+            val ownHubs = hubs(byDomain.getValue(own), unreachable)
+            if (self !in ownHubs) return LinkPlan(LinkRole.Member, ownHubs, emptySet())
+            val all = byDomain.values.flatMap { hubs(it, unreachable) }
+            return LinkPlan(LinkRole.Hub, all.filter { it != self }, byDomain.getValue(own).toSet() - all.toSet())
+        }
+
+        /** The first reachable VMs; those before them stay linked, so that they come back into their place. */
+        private fun hubs(vms: List<VmId>, unreachable: Set<VmId>): List<VmId> {
+            val sorted = vms.sorted()
+            val last = sorted.filter { it !in unreachable }.take(HUBS).lastOrNull() ?: return sorted.take(HUBS)
+            return sorted.take(sorted.indexOf(last) + 1)
+        }
+    }
+}
--- a/core/src/test/kotlin/org/guavapath/core/quota/FleetQuotaTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/quota/FleetQuotaTest.kt
@@ -66,7 +66,7 @@
                 val totals = quotas[from].tell()
                 for (to in quotas.indices) {
                     if (from != to && groupOf(from, elapsed) == groupOf(to, elapsed)) {
-                        quotas[to].report(names[from], Incarnation(1), totals, now)
+                        quotas[to].report(names[from], UsageReport(Incarnation(1), totals), now)
                     }
                 }
             }
--- /dev/null
+++ b/core/src/test/kotlin/org/guavapath/core/quota/HubQuotaTest.kt
@@ -0,0 +1,153 @@
+package org.guavapath.core.quota
+
+import org.guavapath.core.fleet.FleetWorkspace
+import org.guavapath.core.identity.Incarnation
+import org.guavapath.core.identity.VmId
+import org.guavapath.core.identity.WorkspaceName
+import org.guavapath.core.time.MonotonicTime
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The limits of a large fleet, whose VMs hear each other through hubs. */
+class HubQuotaTest {
+    private val workspace = WorkspaceName("workspace")
+    private val limit = FleetWorkspace(
+        workspace,
+        keys = emptySet(),
+        priority = null,
+        isIsolated = false,
+        countsTokens = true,
+        plainTokens = 1,
+        ratePerSecond = RATE,
+        burst = RATE,
+    )
+
+    private inner class Fleet {
+        private val names = List(VMS) { VmId("vm-$it") }
+        val quotas = List(VMS) { FleetQuota(MonotonicTime.ZERO, isFirstStart = true) }
+        private val hubOf = List(VMS) { it % DOMAINS }
+        private val hubs = 0 until DOMAINS
+        val admissions = ArrayList<Pair<MonotonicTime, Long>>()
+
+        init {
+            quotas.forEachIndexed { index, quota ->
+                quota.isHub = index in hubs
+                quota.configure(listOf(limit), MonotonicTime.ZERO)
+                quota.setMembers(names.toSet() - names[index])
+            }
+        }
+
+        fun ask(index: Int, tokens: Long, now: MonotonicTime): Boolean {
+            val cost = RequestCost(tokens, isPlain = false)
+            val isAdmitted = quotas[index].admit(workspace, cost, now) is QuotaVerdict.Admitted
+            if (isAdmitted) admissions.add(now to tokens)
+            return isAdmitted
+        }
+
+        /** Members tell their hub, then hubs each other, then hubs their members. */
+        fun exchange(now: MonotonicTime, isDue: (FleetQuota) -> Boolean) {
+            val due = quotas.indices.filter { isDue(quotas[it]) }
+            due.filter { it !in hubs }.forEach {
+                tell(
+                    it,
+                    hubOf[it],
+                    report(quotas[it].tell(), 1, isMember = true),
+                    now
+                )
+            }
+            due.filter { it in hubs }.forEach { hub ->
+                val usage = report(quotas[hub].tell(), VMS / DOMAINS)
+                hubs.filter { it != hub }.forEach { tell(hub, it, usage, now) }
+                quotas.indices.filter { it !in hubs && hubOf[it] == hub }
+                    .forEach { tell(hub, it, report(quotas[hub].tell(names[it]), VMS - 1), now) }
+            }
+        }
+
+        private fun report(totals: Map<WorkspaceName, Long>, vms: Int, isMember: Boolean = false) =
+            UsageReport(Incarnation(1), totals, vms, isMember)
+
+        private fun tell(from: Int, to: Int, report: UsageReport, now: MonotonicTime) =
+            quotas[to].report(names[from], report, now)
+
+        fun run(length: Duration, demand: (Int) -> Long) {
+            var elapsed = Duration.ZERO
+            while (elapsed < length) {
+                val now = MonotonicTime.ZERO + elapsed
+                quotas.indices.associateWith(
+                    demand
+                ).filterValues { it > 0 }.forEach { (vm, tokens) -> ask(vm, tokens, now) }
+                val isRegular = elapsed.inWholeMilliseconds % REPORT_MILLISECONDS == 0L
+                exchange(now) { isRegular || it.hasUrgentNews }
+                elapsed += STEP
+            }
+        }
+
+        fun mostIn(window: Duration): Long {
+            var sum = 0L
+            var first = 0
+            return admissions.indices.maxOf { last ->
+                sum += admissions[last].second
+                while (admissions[last].first - admissions[first].first > window) sum -= admissions[first++].second
+                sum
+            }
+        }
+    }
+
+    private fun allowed(window: Duration): Double = (RATE * (window / 1.seconds) + RATE) * (1 + OVER) + SLACK
+
+    /** Load pattern: one workspace at fifty times its limit, on all of 84 VMs. */
+    @Test
+    fun demandBeyondTheLimitStaysWithinTheStatedBound() {
+        val fleet = Fleet()
+        val random = Random(1)
+        fleet.run(24.seconds) { if (random.nextInt(ONE_IN) == 0) random.nextLong(100, LARGEST) else 0 }
+        val most = fleet.mostIn(WINDOW)
+        assertTrue(most <= allowed(WINDOW), "$most tokens, allowed are ${allowed(WINDOW)}")
+        assertTrue(most >= RATE * 7, "only $most tokens")
+    }
+
+    /** Load pattern: all of a workspace's callers at one VM of many. */
+    @Test
+    fun demandOnOneVmAloneMayUseTheWholeLimit() {
+        val fleet = Fleet()
+        fleet.run(16.seconds) { if (it == VMS - 1) RATE / 50 else 0 }
+        val total = fleet.admissions.sumOf { it.second }
+        assertTrue(total > RATE * 15, "$total tokens in 16 s")
+    }
+
+    @Test
+    fun anAdmissionIsChargedOnceOnEveryVm() {
+        val fleet = Fleet()
+        repeat(3) { round -> fleet.exchange(MonotonicTime.ZERO + REPORT_MILLISECONDS.milliseconds * round) { true } }
+        val at = MonotonicTime.ZERO + 1.seconds
+        assertTrue(fleet.ask(VMS - 1, RATE, at))
+        repeat(3) { fleet.exchange(at) { true } }
+        val open = fleet.quotas.map { quota ->
+            quota.admit(workspace, RequestCost(1, isPlain = false), at + 20.milliseconds) is QuotaVerdict.Admitted
+        }
+        assertEquals(VMS, open.count { it }, "after 20 ms a part of the rate is refilled on every VM")
+        val debtors = fleet.quotas.count {
+            it.admit(workspace, RequestCost(RATE, isPlain = false), at + 20.milliseconds)
+            it.admit(workspace, RequestCost(1, isPlain = false), at + 21.milliseconds) is QuotaVerdict.Exhausted
+        }
+        assertEquals(VMS, debtors)
+    }
+
+    private companion object {
+        const val VMS = 84
+        const val DOMAINS = 3
+        const val RATE = 36_000L
+        const val LARGEST = 12_000L
+        const val OVER = 0.1
+        const val SLACK = 140_000
+        const val REPORT_MILLISECONDS = 250L
+        const val ONE_IN = 30
+        val STEP = 20.milliseconds
+        val WINDOW = 8.seconds
+    }
+}
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -38,21 +38,29 @@
     private val operator = OperatorState(fleet, log)
     private val pool = ReplicaPool(loop)
     private val replicas = ReplicaList(fleet, pool, log)
-    private val members = Members(settings.vm, MemberEntry(settings.peers, incarnation), store, log)
+    private val members = Members(
+        settings.vm,
+        MemberEntry(settings.peers, settings.failureDomain, incarnation),
+        store,
+        log
+    )
     private val peers = PeerTask(
         SocketAddress.of(settings.peers).let { ListenAddress(it.host, it.port) },
         PeerHandshake(settings.vm, incarnation, settings.peerSecrets),
     )
-    private val membersView = StoreView(MEMBERS, store, log) { membersChanged() }
+    private val routes = PeerRoutes(settings.vm, settings.failureDomain, peers, fleet, log)
+    private val membersView = StoreView(MEMBERS, store, log, LIST_PAUSE) { membersChanged() }
     private val views = listOf(
         StoreView(StoreKinds.CONFIGURATIONS, store, log) { operator.configured(it) },
         StoreView(StoreKinds.WEIGHTS, store, log) { operator.weightsNamed(it) },
-        StoreView(StoreKinds.REPLICAS, store, log, REPLICA_PAUSE) { replicasChanged(it) },
+        StoreView(StoreKinds.REPLICAS, store, log, LIST_PAUSE) { replicasChanged(it) },
         membersView,
     )
+    private val signs = SignsOfLife()
+    private val viewExchange = ViewExchange(views, peers)
     private val lease = RolloutLease(settings.vm, incarnation, store, log)
-    private val exchange = PeerExchange(settings.vm, views, peers, members, lease)
-    private val news = PeerNews(incarnation, fleet, views, peers, exchange, lease)
+    private val exchange = PeerExchange(settings.vm, viewExchange, peers, routes, signs, lease)
+    private val news = PeerNews(incarnation, fleet, viewExchange, peers, routes, exchange)
     private val loader = WeightsLoader(settings.vm.text, lease, ReplicaCalls(pool), log)
     private val rollout = RolloutTask(fleet, lease, loader, exchange)
     private val reception = Reception(
@@ -75,7 +83,8 @@
         scope.launch { peers.start(scope, this@Gateway) }
         settings.peerSeeds.filter { it != settings.peers }.forEach { peers.keepLink(scope, it, this) }
         scope.launch { members.keepRegistered { membersView.objects } }
-        scope.launch { members.removeSilent { membersView.objects } }
+        scope.launch { members.removeSilent(signs, routes::isCaretaker) { membersView.objects } }
+        scope.launch { routes.watchLinks(::plan) }
         scope.launch { news.tellStatusForever() }
         scope.launch { news.tellPromptsForever() }
         scope.launch { news.tellUsageForever() }
@@ -99,18 +108,16 @@
 
     override suspend fun received(from: VmId, message: PeerMessage) {
         when (message) {
-            is PeerMessage.FleetStatus -> {
-                members.heard(from)
-                fleet.quota.report(from, message.incarnation, message.usage, MonotonicTime.now())
-                exchange.heard(from, message, fleet.book)
+            is PeerMessage.FleetStatus -> exchange.heard(from, message, fleet)
+            is PeerMessage.UsageTold -> exchange.usageTold(from, message, fleet)
+            is PeerMessage.PromptsRead -> {
+                exchange.promptsRead(message, fleet.directory)
+                news.promptsRead(from, message)
             }
-            is PeerMessage.UsageTold ->
-                fleet.quota.report(from, message.incarnation, message.usage, MonotonicTime.now())
-            is PeerMessage.PromptsRead -> exchange.promptsRead(message, fleet.directory)
-            is PeerMessage.ViewWanted -> exchange.share(from, message)
-            is PeerMessage.ViewContent -> exchange.adopt(from, message)
-            is PeerMessage.ReplicaLoading -> rollout.loading(message)
-            is PeerMessage.ReplicaLoaded -> rollout.loaded(message)
+            is PeerMessage.ViewWanted -> viewExchange.share(from, message)
+            is PeerMessage.ViewContent -> viewExchange.adopt(from, message)
+            is PeerMessage.ReplicaLoading -> rollout.loading(message).also { exchange.passOn(from, message) }
+            is PeerMessage.ReplicaLoaded -> rollout.loaded(message).also { exchange.passOn(from, message) }
             else -> Unit
         }
     }
@@ -139,12 +146,15 @@
     }
 
     private fun membersChanged() {
-        val before = members.others
         if (!members.update(membersView.objects)) return
         fleet.quota.setMembers(members.others.keys)
-        members.others.values.forEach { peers.keepLink(scope, it, this) }
-        (before.values - members.others.values.toSet()).forEach { peers.dropLink(it) }
         log.belief("members", "others" to members.others.keys.map { it.text })
+        plan()
+    }
+
+    private fun plan() {
+        routes.update(scope, members.others, this)
+        signs.expect(routes.linked)
     }
 
     private fun gauges() {
@@ -158,8 +168,8 @@
     private companion object {
         val MEMBERS = Members.KIND
 
-        /** Several replicas change at once during a rollout; two seconds are allowed for one that leaves. */
-        val REPLICA_PAUSE = 300.milliseconds
+        /** Several entries change at once in a rollout or at a start; two seconds are allowed for one that leaves. */
+        val LIST_PAUSE = 300.milliseconds
 
         /** The platform asks each second and takes a VM out after two misses. */
         val LEAVING_PAUSE = 2500.milliseconds
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
@@ -6,19 +6,19 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.guavapath.core.identity.FailureDomainName
 import org.guavapath.core.identity.Incarnation
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.store.ObjectKind
 import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.store.StoreError
 import org.guavapath.core.store.StoredObject
-import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** How a gateway registers itself at the store, under its VM's name. */
 @Serializable
-internal data class MemberEntry(val peers: String, val incarnation: Incarnation)
+internal data class MemberEntry(val peers: String, val domain: FailureDomainName, val incarnation: Incarnation)
 
 /**
  * The gateways of the fleet, each registered by itself at the store.
@@ -32,12 +32,11 @@
     private val store: ObjectStore,
     private val log: GatewayLog,
 ) {
-    private val heardAt = HashMap<VmId, MonotonicTime>()
     private var isRegistered = false
     private var isLeaving = false
 
-    /** The other gateways and where they listen for peers. */
-    var others = emptyMap<VmId, String>()
+    /** The other registered gateways. */
+    var others = emptyMap<VmId, MemberEntry>()
         private set
 
     /** Gateways in the fleet, this one included. */
@@ -48,22 +47,13 @@
         val own = objects[self.text]?.let { decode(it) }
         isRegistered = own == entry
         val next = objects.filterKeys { it != self.text }
-            .mapNotNull { (name, stored) -> decode(stored)?.let { VmId(name) to it.peers } }
+            .mapNotNull { (name, stored) -> decode(stored)?.let { VmId(name) to it } }
             .toMap()
         val isChanged = next != others
         others = next
-        val now = MonotonicTime.now()
-        next.keys.forEach { heardAt.putIfAbsent(it, now) }
-        heardAt.keys.retainAll(next.keys)
         return isChanged
     }
 
-    fun heard(peer: VmId) {
-        if (peer in others) heardAt[peer] = MonotonicTime.now()
-    }
-
-    fun isAlive(peer: VmId): Boolean = heardAt[peer]?.let { MonotonicTime.now() - it < ALIVE_LIMIT } ?: false
-
     /** Keeps this gateway registered. */
     suspend fun keepRegistered(current: () -> Map<String, StoredObject>) {
         while (true) {
@@ -72,13 +62,16 @@
         }
     }
 
-    /** Removes the entry of the gateway that was silent for longest, if it is surely gone. */
-    suspend fun removeSilent(current: () -> Map<String, StoredObject>) {
+    /**
+     * Removes the entry of the gateway that was silent for longest, if it is surely gone.
+     *
+     * @param isMine whether this gateway should do so rather than another one
+     */
+    suspend fun removeSilent(signs: SignsOfLife, isMine: () -> Boolean, current: () -> Map<String, StoredObject>) {
         while (true) {
             delay(REMOVAL_INTERVAL)
-            val isMine = others.keys.filter { isAlive(it) }.all { self < it }
-            val gone = heardAt.entries.firstOrNull { MonotonicTime.now() - it.value > GONE_LIMIT }?.key
-            if (isMine) current()[gone?.text]?.let { remove(it) }
+            val gone = signs.silentFor(GONE_LIMIT).firstOrNull()
+            if (isMine()) current()[gone?.text]?.let { remove(it) }
         }
     }
 
@@ -126,7 +119,6 @@
     companion object {
         /** Entries of gateways. */
         val KIND = ObjectKind("guavapath-gateways")
-        private val ALIVE_LIMIT = 1500.milliseconds
         private val UPKEEP_INTERVAL = 500.milliseconds
         private val REMOVAL_INTERVAL = 5.seconds
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerNews.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerNews.kt
@@ -2,7 +2,10 @@
 
 import kotlinx.coroutines.delay
 import org.guavapath.core.identity.Incarnation
+import org.guavapath.core.identity.VmId
+import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.placement.ReplicaLoad
+import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.peers.PeerMessage
 import org.guavapath.daemon.peers.PeerSender
 import kotlin.time.Duration.Companion.milliseconds
@@ -11,20 +14,24 @@
 internal class PeerNews(
     private val incarnation: Incarnation,
     private val fleet: FleetState,
-    private val views: List<StoreView>,
+    private val views: ViewExchange,
     private val peers: PeerSender,
+    private val routes: PeerRoutes,
     private val exchange: PeerExchange,
-    private val lease: RolloutLease,
 ) {
+    private val prompts = PromptNews(peers, routes)
+
     /** Tells the others this gateway's status, at once when it changes and now and then when it does not. */
     suspend fun tellStatusForever() {
         var last: PeerMessage.FleetStatus? = null
         var quiet = 0
         while (true) {
             delay(INTERVAL)
-            val next = status()
+            val next = statusForEquals()
             quiet = if (next == last) quiet + 1 else 0
-            if (quiet % QUIET_INTERVALS == 0) peers.sendToAll(next)
+            val isDue = quiet % QUIET_INTERVALS == 0
+            if (isDue) routes.equals.forEach { peers.send(it, next) }
+            if (isDue || routes.members.isNotEmpty()) routes.members.forEach { peers.send(it, statusForMember(it)) }
             last = next
         }
     }
@@ -33,8 +40,11 @@
     suspend fun tellUsageForever() {
         while (true) {
             delay(URGENT_INTERVAL)
-            if (fleet.quota.hasUrgentNews) {
-                peers.sendToAll(PeerMessage.UsageTold(incarnation, fleet.quota.tell()))
+            if (!fleet.quota.hasUrgentNews) continue
+            val usage = fleet.quota.tell()
+            routes.equals.forEach { peers.send(it, PeerMessage.UsageTold(incarnation, routes.vmsOfOwn, usage)) }
+            routes.members.forEach {
+                peers.send(it, PeerMessage.UsageTold(incarnation, routes.vmsOfOthers, fleet.quota.tell(it)))
             }
         }
     }
@@ -43,22 +53,37 @@
     suspend fun tellPromptsForever() {
         while (true) {
             delay(PROMPT_INTERVAL)
-            val news = fleet.directory.takeNews()
-            if (news.isEmpty()) continue
-            val byReplica = news.entries.groupBy({ it.value.text }, { it.key.bits })
-            peers.sendToAll(PeerMessage.PromptsRead(byReplica))
+            prompts.tell(fleet.directory)
         }
     }
 
-    private fun status() = PeerMessage.FleetStatus(
-        incarnation = incarnation,
-        views = views.associate { it.kind.text to it.newestChange.number },
-        usage = fleet.quota.tell(),
-        loads = fleet.book.all.filter { it.ownLoad != ReplicaLoad.NONE }
-            .associate { it.entry.id.text to PeerMessage.SharedLoad(it.ownLoad.promptTokens, it.ownLoad.requests) },
-        isServedByStore = exchange.isServed(),
-        rollout = lease.known,
-    )
+    /** Takes over which replicas read which shared parts of prompts, as [from] tells. */
+    fun promptsRead(from: VmId, message: PeerMessage.PromptsRead) = prompts.heard(from, message)
+
+    private fun statusForEquals(): PeerMessage.FleetStatus {
+        val others = routes.equals
+        return status(routes.vmsOfOwn, fleet.quota.tell(), others)
+    }
+
+    private fun statusForMember(member: VmId) =
+        status(routes.vmsOfOthers, fleet.quota.tell(member), except = setOf(member))
+
+    /** Returns a status with the loads of all VMs but [except]. */
+    private fun status(vms: Int, usage: Map<WorkspaceName, Long>, except: Set<VmId>): PeerMessage.FleetStatus {
+        val now = MonotonicTime.now()
+        return PeerMessage.FleetStatus(
+            incarnation = incarnation,
+            isHub = !routes.isMember,
+            vms = vms,
+            views = views.changes,
+            usage = usage,
+            loads = fleet.book.all.map { it.entry.id.text to it.load(now, except) }
+                .filter { it.second != ReplicaLoad.NONE }
+                .associate { (id, load) -> id to PeerMessage.SharedLoad(load.promptTokens, load.requests) },
+            isServedByStore = exchange.isServed(),
+            rollout = exchange.rolloutHolder,
+        )
+    }
 
     private companion object {
         /** Requests with the same beginning often come within a second of each other. */
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerRoutes.kt
@@ -0,0 +1,139 @@
+package org.guavapath.daemon.gateway
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import org.guavapath.core.identity.FailureDomainName
+import org.guavapath.core.identity.VmId
+import org.guavapath.core.time.MonotonicTime
+import org.guavapath.core.topology.LinkPlan
+import org.guavapath.core.topology.LinkRole
+import org.guavapath.core.topology.Reachability
+import org.guavapath.daemon.peers.PeerReceiver
+import org.guavapath.daemon.peers.PeerTask
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * The links to other gateways and who is told what over them.
+ *
+ * Equals are told of this gateway and of its members, members of everything but themselves. A gateway that does
+ * not know the fleet yet tells all that it is linked with.
+ */
+internal class PeerRoutes(
+    private val self: VmId,
+    private val domain: FailureDomainName,
+    private val peers: PeerTask,
+    private val fleet: FleetState,
+    private val log: GatewayLog,
+) {
+    private class Source(val isHub: Boolean, val vms: Int, val heardAt: MonotonicTime)
+
+    private val reachability = Reachability()
+    private val sources = HashMap<VmId, Source>()
+    private var addresses = emptyMap<VmId, String>()
+    private var plan = LinkPlan(LinkRole.Equal, emptyList(), emptySet())
+    private var upstream: VmId? = null
+
+    /** Whether this gateway is told of by a hub; then it tells nobody else. */
+    val isMember: Boolean get() = plan.role == LinkRole.Member
+
+    /** VMs that should be linked with this one. */
+    val linked: Set<VmId> get() = plan.linked
+
+    /** Whether this gateway looks after the entries of silent ones: each hub, or the first of a small fleet. */
+    val isCaretaker: Boolean
+        get() = when (plan.role) {
+            LinkRole.Hub -> true
+            LinkRole.Equal -> live().keys.all { self < it }
+            LinkRole.Member -> false
+        }
+
+    /** Gateways that tell each other of themselves and of their members. */
+    val equals: Set<VmId>
+        get() = when {
+            isMember -> setOfNotNull(upstream)
+            addresses.isEmpty() -> peers.linkedPeers
+            else -> plan.hubs.toSet() + live().filterValues { it.isHub }.keys
+        }
+
+    /** Gateways that are told of all others by this one. */
+    val members: Set<VmId>
+        get() = if (plan.role == LinkRole.Hub) live().filterValues { !it.isHub }.keys else emptySet()
+
+    /** VMs that a report to equals tells of. */
+    val vmsOfOwn: Int get() = 1 + members.size
+
+    /** VMs that a report to a member tells of. */
+    val vmsOfOthers: Int get() = members.size + live().filterValues { it.isHub }.values.sumOf { it.vms }
+
+    /** Whether [vm] leaves it to this gateway to tell the others of it. */
+    fun isMember(vm: VmId): Boolean = plan.role == LinkRole.Hub && sources[vm]?.isHub == false
+
+    /**
+     * Takes over that [vm] tells of [vms] gateways; returns whether it is to be listened to. A member listens to
+     * one hub only, since each hub tells it of all others.
+     */
+    fun heard(vm: VmId, isHub: Boolean, vms: Int): Boolean {
+        if (isMember && vm != upstream) return false
+        if (sources[vm]?.isHub == !isHub) fleet.quota.forget(vm)
+        sources[vm] = Source(isHub, vms, MonotonicTime.now())
+        return true
+    }
+
+    /** Takes over the other gateways, with their failure domains and where they listen. */
+    fun update(scope: CoroutineScope, others: Map<VmId, MemberEntry>, receiver: PeerReceiver) {
+        addresses = others.mapValues { it.value.peers }
+        val domains = others.mapValues { it.value.domain } + (self to domain)
+        val before = plan
+        plan = LinkPlan.of(self, domains, reachability.unreachable(MonotonicTime.now()))
+        fleet.quota.isHub = plan.role == LinkRole.Hub
+        val wanted = plan.linked.mapNotNull { addresses[it] }.toSet()
+        if (others.isNotEmpty()) peers.keepOnly(wanted)
+        wanted.forEach { peers.keepLink(scope, it, receiver) }
+        chooseUpstream()
+        if (plan.role != before.role || plan.hubs != before.hubs) {
+            log.belief("links", "role" to plan.role.toString(), "hubs" to plan.hubs.map { it.text })
+        }
+    }
+
+    /** Follows which links stand, and makes a new plan when one is missing for too long. */
+    suspend fun watchLinks(replan: () -> Unit) {
+        while (true) {
+            delay(CHECK_INTERVAL)
+            val now = MonotonicTime.now()
+            val before = reachability.unreachable(now)
+            reachability.update(plan.linked, peers.linkedPeers, now)
+            forgetSilentMembers()
+            chooseUpstream()
+            if (reachability.unreachable(now) != before) replan()
+        }
+    }
+
+    /** The first hub that can be reached; what the former one told is not counted again. */
+    private fun chooseUpstream() {
+        val next = if (isMember) plan.hubs.firstOrNull { it in peers.linkedPeers } else null
+        if (next == upstream) return
+        upstream?.let { fleet.quota.forget(it) }
+        upstream = next
+        log.belief("upstream", "hub" to next?.text)
+    }
+
+    /** A member that went to another hub comes back with a new base. */
+    private fun forgetSilentMembers() {
+        val live = live().keys
+        sources.keys.filter { it !in live && isMember(it) }.forEach {
+            fleet.quota.forget(it)
+            sources.remove(it)
+        }
+    }
+
+    private fun live(): Map<VmId, Source> {
+        val now = MonotonicTime.now()
+        return sources.filterValues { now - it.heardAt < SILENCE_LIMIT }
+    }
+
+    private companion object {
+        /** Reports come every 250 ms. */
+        val SILENCE_LIMIT = 1200.milliseconds
+        val CHECK_INTERVAL = 250.milliseconds
+    }
+}
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -65,15 +65,19 @@
     /**
      * What a gateway tells the others several times a second.
      *
+     * @property isHub whether it is told to an equal or a member, otherwise by a member to its hub
+     * @property vms number of gateways whose usage and loads it holds
      * @property views revision at which its copy of each kind of objects last changed
-     * @property usage tokens that it admitted since its start, by workspace
-     * @property loads its work at replicas, by replica
+     * @property usage tokens that they admitted since its start, by workspace
+     * @property loads their work at replicas, by replica
      * @property isServedByStore whether the store serves it
      * @property rollout the holder of the rollout lease as it knows it
      */
     @Serializable
     data class FleetStatus(
         val incarnation: Incarnation,
+        val isHub: Boolean,
+        val vms: Int,
         val views: Map<String, Long>,
         val usage: Map<WorkspaceName, Long>,
         val loads: Map<String, SharedLoad>,
@@ -81,9 +85,9 @@
         val rollout: RolloutHolder?,
     ) : OfFleet()
 
-    /** Tokens that the sender admitted since its start, by workspace. */
+    /** The usage of a [FleetStatus] alone. */
     @Serializable
-    data class UsageTold(val incarnation: Incarnation, val usage: Map<WorkspaceName, Long>) : OfFleet()
+    data class UsageTold(val incarnation: Incarnation, val vms: Int, val usage: Map<WorkspaceName, Long>) : OfFleet()
 
     /** Work at one replica: prompt tokens that are not read yet, and requests. */
     @Serializable
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerTask.kt
@@ -59,9 +59,9 @@
         dialled.computeIfAbsent(address) { scope.launch { dialForever(it, receiver) } }
     }
 
-    /** Ends the link to the daemon at [address] and does not dial it again. */
-    fun dropLink(address: String) {
-        dialled.remove(address)?.cancel()
+    /** Ends the links to daemons at other than [addresses] and does not dial those again. */
+    fun keepOnly(addresses: Set<String>) {
+        (dialled.keys - addresses).forEach { dialled.remove(it)?.cancel() }
     }
 
     override fun send(to: VmId, message: PeerMessage) {
