--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -17,6 +17,7 @@
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.logging.LogDrops
 import org.guavapath.daemon.peers.PeerHandshake
 import org.guavapath.daemon.peers.PeerMessage
 import org.guavapath.daemon.peers.PeerReceiver
@@ -162,6 +163,7 @@
         records.metrics.gauge(
             "guavapath.gateway.configuration.version"
         ) { operator.configuration?.version?.number ?: 0 }
+        records.metrics.gauge("guavapath.gateway.log.dropped") { LogDrops.total }
         records.metrics.gauge("guavapath.gateway.reachable.share") { fleet.quota.reachableShare(MonotonicTime.now()) }
     }
 
