--- a/core/src/main/kotlin/org/guavapath/core/topology/LinkPlan.kt
+++ b/core/src/main/kotlin/org/guavapath/core/topology/LinkPlan.kt
@@ -1,9 +1,9 @@
 /**
  * Which VMs of a fleet keep links with each other.
  *
- * In a small fleet all VMs are linked with all. In a large one each failure domain has hubs: a VM is linked with the
- * hubs of its own domain, hubs with the VMs of their domain and with all other hubs. The number of links on a VM
- * then grows with the size of a domain at most, and what crosses domains with the number of domains.
+ * In a small fleet all VMs dial all. In a large one each failure domain has hubs: a VM dials the hubs of its own
+ * domain, hubs dial all other hubs. The number of links on a VM then grows with the size of a domain at most, and
+ * what crosses domains with the number of domains.
  */
 package org.guavapath.core.topology
 
@@ -26,16 +26,16 @@
  * The links of one VM.
  *
  * @property role its part in the exchange
- * @property hubs VMs to exchange with as equals: all others in a small fleet, the other hubs for a hub; for a
+ * @property hubs VMs to dial: all others in a small fleet, the other hubs for a hub; for a
  *   member the hubs of its domain, the preferred one first
- * @property members VMs that a hub serves, empty for all others
+ * @property members VMs that dial this one if it is a hub, empty for all others
  */
 public data class LinkPlan(
     public val role: LinkRole,
     public val hubs: List<VmId>,
     public val members: Set<VmId>,
 ) {
-    /** All VMs to keep a link with. */
+    /** All VMs that a link should stand with. */
     public val linked: Set<VmId> get() = hubs.toSet() + members
 
     /** Makes plans. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -49,7 +49,7 @@
         SocketAddress.of(settings.peers).let { ListenAddress(it.host, it.port) },
         PeerHandshake(settings.vm, incarnation, settings.peerSecrets),
     )
-    private val routes = PeerRoutes(settings.vm, settings.failureDomain, peers, fleet, log)
+    private val routes = PeerRoutes(settings, peers, fleet, log)
     private val membersView = StoreView(MEMBERS, store, log, LIST_PAUSE) { membersChanged() }
     private val views = listOf(
         StoreView(StoreKinds.CONFIGURATIONS, store, log) { operator.configured(it) },
@@ -58,7 +58,7 @@
         membersView,
     )
     private val signs = SignsOfLife()
-    private val viewExchange = ViewExchange(views, peers)
+    private val viewExchange = ViewExchange(views, peers, routes)
     private val lease = RolloutLease(settings.vm, incarnation, store, log)
     private val exchange = PeerExchange(settings.vm, viewExchange, peers, routes, signs, lease)
     private val news = PeerNews(incarnation, fleet, viewExchange, peers, routes, exchange)
@@ -80,12 +80,13 @@
             "settings" to settings.copy(peerSecrets = emptyList()).toString()
         )
         gauges()
+        viewExchange.refresh()
         views.forEach { scope.launch { it.follow() } }
         scope.launch { peers.start(scope, this@Gateway) }
         settings.peerSeeds.filter { it != settings.peers }.forEach { peers.keepLink(scope, it, this) }
         scope.launch { members.keepRegistered { membersView.objects } }
         scope.launch { members.removeSilent(signs, routes::isCaretaker) { membersView.objects } }
-        scope.launch { routes.watchLinks(::plan) }
+        scope.launch { routes.watchLinks(::plan, viewExchange::refresh) }
         scope.launch { news.tellStatusForever() }
         scope.launch { news.tellPromptsForever() }
         scope.launch { news.tellUsageForever() }
@@ -117,6 +118,7 @@
             }
             is PeerMessage.ViewWanted -> viewExchange.share(from, message)
             is PeerMessage.ViewContent -> viewExchange.adopt(from, message)
+            is PeerMessage.ViewChanged -> viewExchange.adopt(from, message)
             is PeerMessage.ReplicaLoading -> rollout.loading(message).also { exchange.passOn(from, message) }
             is PeerMessage.ReplicaLoaded -> rollout.loaded(message).also { exchange.passOn(from, message) }
             else -> Unit
@@ -147,7 +149,7 @@
     }
 
     private fun membersChanged() {
-        if (!members.update(membersView.objects)) return
+        if (!members.update(membersView.objects, membersView.asOf)) return
         fleet.quota.setMembers(members.others.keys)
         log.belief("members", "others" to members.others.keys.map { it.text })
         plan()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
@@ -11,6 +11,7 @@
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.store.ObjectKind
 import org.guavapath.core.store.ObjectStore
+import org.guavapath.core.store.Revision
 import org.guavapath.core.store.StoreError
 import org.guavapath.core.store.StoredObject
 import kotlin.time.Duration.Companion.milliseconds
@@ -33,6 +34,7 @@
     private val log: GatewayLog,
 ) {
     private var isRegistered = false
+    private var registeredAt = Revision.NONE
     private var isLeaving = false
 
     /** The other registered gateways. */
@@ -42,10 +44,10 @@
     /** Gateways in the fleet, this one included. */
     val fleetSize: Int get() = others.size + 1
 
-    /** Takes over the registered entries; returns whether the other gateways have changed. */
-    fun update(objects: Map<String, StoredObject>): Boolean {
+    /** Takes over the entries registered as of [revision]; returns whether the other gateways have changed. */
+    fun update(objects: Map<String, StoredObject>, revision: Revision): Boolean {
         val own = objects[self.text]?.let { decode(it) }
-        isRegistered = own == entry
+        if (revision >= registeredAt) isRegistered = own == entry
         val next = objects.filterKeys { it != self.text }
             .mapNotNull { (name, stored) -> decode(stored)?.let { VmId(name) to it } }
             .toMap()
@@ -97,7 +99,7 @@
             store.replace(KIND, self.text, value, present.revision)
         }
         written.fold(
-            success = { isRegistered = true },
+            success = { registered(it) },
             failure = { error -> retryAfterConflict(error) },
         )
     }
@@ -105,8 +107,14 @@
     /** An entry of an earlier incarnation is replaced; other failures are tried again later. */
     private suspend fun retryAfterConflict(error: StoreError) {
         val present = (error as? StoreError.Conflict)?.present
+        if (present != null && decode(present) == entry) return registered(present)
         log.belief("member entry not written", "error" to error.toString())
-        if (present != null && decode(present) != entry) register(present)
+        if (present != null) register(present)
+    }
+
+    private fun registered(stored: StoredObject) {
+        isRegistered = true
+        registeredAt = stored.revision
     }
 
     private fun decode(stored: StoredObject): MemberEntry? = try {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
@@ -38,7 +38,7 @@
         status.loads.forEach { (replica, load) ->
             fleet.book[ReplicaId(replica)]?.report(from, ReplicaLoad(load.promptTokens, load.requests), now)
         }
-        views.heard(from, status.views)
+        views.heard(from, status.views, status.isServedByStore)
     }
 
     /** Takes over what [from] tells of admissions between two statuses. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerRoutes.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerRoutes.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import org.guavapath.core.identity.FailureDomainName
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.core.topology.LinkPlan
@@ -11,6 +10,7 @@
 import org.guavapath.daemon.peers.PeerReceiver
 import org.guavapath.daemon.peers.PeerTask
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * The links to other gateways and who is told what over them.
@@ -19,12 +19,15 @@
  * not know the fleet yet tells all that it is linked with.
  */
 internal class PeerRoutes(
-    private val self: VmId,
-    private val domain: FailureDomainName,
+    private val settings: GatewaySettings,
     private val peers: PeerTask,
     private val fleet: FleetState,
     private val log: GatewayLog,
 ) {
+    private val self = settings.vm
+    private val startedAt = MonotonicTime.now()
+    private var aloneSince: MonotonicTime? = null
+
     private class Source(val isHub: Boolean, val vms: Int, val heardAt: MonotonicTime)
 
     private val reachability = Reachability()
@@ -39,6 +42,21 @@
     /** VMs that should be linked with this one. */
     val linked: Set<VmId> get() = plan.linked
 
+    /** VMs that this one dialled and is linked with now. */
+    val linkedPeers: Set<VmId> get() = peers.linkedPeers
+
+    /**
+     * Whether this gateway reads the store. A member does only while it has no hub. At the first start of a fleet
+     * the seeds do, and the others if no seed has answered for a while.
+     */
+    val isReader: Boolean
+        get() = when {
+            isMember -> aloneSince.let { it != null && MonotonicTime.now() - it > HUB_PATIENCE }
+            addresses.isEmpty() && settings.isFirstStart && settings.peers !in settings.peerSeeds ->
+                MonotonicTime.now() - startedAt > SEED_PATIENCE
+            else -> true
+        }
+
     /** Whether this gateway looks after the entries of silent ones: each hub, or the first of a small fleet. */
     val isCaretaker: Boolean
         get() = when (plan.role) {
@@ -82,11 +100,11 @@
     /** Takes over the other gateways, with their failure domains and where they listen. */
     fun update(scope: CoroutineScope, others: Map<VmId, MemberEntry>, receiver: PeerReceiver) {
         addresses = others.mapValues { it.value.peers }
-        val domains = others.mapValues { it.value.domain } + (self to domain)
+        val domains = others.mapValues { it.value.domain } + (self to settings.failureDomain)
         val before = plan
         plan = LinkPlan.of(self, domains, reachability.unreachable(MonotonicTime.now()))
         fleet.quota.isHub = plan.role == LinkRole.Hub
-        val wanted = plan.linked.mapNotNull { addresses[it] }.toSet()
+        val wanted = plan.hubs.mapNotNull { addresses[it] }.toSet()
         if (others.isNotEmpty()) peers.keepOnly(wanted)
         wanted.forEach { peers.keepLink(scope, it, receiver) }
         chooseUpstream()
@@ -95,22 +113,24 @@
         }
     }
 
-    /** Follows which links stand, and makes a new plan when one is missing for too long. */
-    suspend fun watchLinks(replan: () -> Unit) {
+    /** Follows which links stand: calls [replan] when one is missing for too long, and [refresh] each time. */
+    suspend fun watchLinks(replan: () -> Unit, refresh: () -> Unit) {
         while (true) {
             delay(CHECK_INTERVAL)
             val now = MonotonicTime.now()
             val before = reachability.unreachable(now)
-            reachability.update(plan.linked, peers.linkedPeers, now)
+            reachability.update(plan.hubs.toSet(), peers.linkedPeers, now)
             forgetSilentMembers()
             chooseUpstream()
             if (reachability.unreachable(now) != before) replan()
+            refresh()
         }
     }
 
     /** The first hub that can be reached; what the former one told is not counted again. */
     private fun chooseUpstream() {
         val next = if (isMember) plan.hubs.firstOrNull { it in peers.linkedPeers } else null
+        aloneSince = if (next != null || !isMember) null else aloneSince ?: MonotonicTime.now()
         if (next == upstream) return
         upstream?.let { fleet.quota.forget(it) }
         upstream = next
@@ -135,5 +155,11 @@
         /** Reports come every 250 ms. */
         val SILENCE_LIMIT = 1200.milliseconds
         val CHECK_INTERVAL = 250.milliseconds
+
+        /** A hub starts again within about a second, and there is a second one. */
+        val HUB_PATIENCE = 800.milliseconds
+
+        /** All gateways of a fleet start within a second; callers come later. */
+        val SEED_PATIENCE = 2.seconds
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -2,7 +2,6 @@
 
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.delay
-import org.guavapath.core.store.Change
 import org.guavapath.core.store.Listing
 import org.guavapath.core.store.ObjectKind
 import org.guavapath.core.store.ObjectStore
@@ -10,7 +9,6 @@
 import org.guavapath.core.store.StoreError
 import org.guavapath.core.store.StoredObject
 import org.guavapath.core.store.WatchResult
-import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -19,8 +17,8 @@
  * This VM's copy of one kind of objects at the store.
  *
  * It is listed once and watched from then on; it is listed again when the store has dropped the history.
- * Other gateways may hand in a newer copy while the store does not serve this VM. The copy never goes
- * back to an older revision.
+ * A gateway that follows a hub makes no calls: the hub hands in the changes. Others may hand in a newer copy at
+ * any time. The copy never goes back to an older revision.
  *
  * @param pause rest between two watches; changes in it come together with one call
  * @param onChange called on the event loop after each change of the copy
@@ -33,7 +31,15 @@
     private val onChange: (StoreView) -> Unit,
 ) {
     private val held = LinkedHashMap<String, StoredObject>()
-    private var failingSince: MonotonicTime? = null
+
+    /** Whether the store serves this gateway, or the hub that it follows. */
+    val contact = StoreContact(kind, log)
+
+    /** Whether this gateway reads the store itself. */
+    var isReading = true
+
+    /** Called with the changes that a watch brought, and the revision before them. */
+    var onWatched: (Revision, WatchResult.Changes) -> Unit = { _, _ -> }
 
     /** The objects by name. */
     val objects: Map<String, StoredObject> get() = held
@@ -46,17 +52,25 @@
     var newestChange = Revision.NONE
         private set
 
-    /** When the store came back after it had failed this VM for longer than a blink. */
-    var recoveredAt = MonotonicTime.ZERO
-        private set
-
-    /** Whether the store serves this view; a watch that is cut and taken up again does not count. */
-    val isServed: Boolean
-        get() = asOf > Revision.NONE && failingSince.let { it == null || MonotonicTime.now() - it < BLINK }
+    /** Whether there is a copy and the store serves it. */
+    val isServed: Boolean get() = asOf > Revision.NONE && contact.isServing
 
     /** Keeps the copy up to date until it is cancelled. */
     suspend fun follow() {
-        while (true) if (asOf == Revision.NONE) list() else watch()
+        while (true) {
+            when {
+                !isReading -> delay(READING_CHECK)
+                asOf == Revision.NONE -> list()
+                else -> watch()
+            }
+        }
+    }
+
+    /** Takes over [changes] that a hub watched after the revision [after]; returns whether the copy goes that far. */
+    fun adopt(changes: WatchResult.Changes, after: Revision): Boolean {
+        val isNext = after <= asOf
+        if (isNext && changes.asOf > asOf) apply(changes)
+        return isNext
     }
 
     /** Takes over a copy of another gateway if it is newer. */
@@ -68,7 +82,7 @@
 
     private suspend fun list() = store.list(kind).fold(
         success = {
-            reached()
+            contact.reached()
             if (it.asOf >= asOf) replace(it)
         },
         failure = { failed(it) },
@@ -76,7 +90,7 @@
 
     private suspend fun watch() = store.watch(kind, asOf, LONGEST_WATCH).fold(
         success = {
-            reached()
+            contact.reached()
             watched(it)
         },
         failure = { failed(it) },
@@ -89,7 +103,9 @@
                 list()
             }
             is WatchResult.Changes -> if (result.asOf > asOf) {
-                apply(result.changes, result.asOf)
+                val before = asOf
+                apply(result)
+                onWatched(before, result)
                 delay(pause)
             }
         }
@@ -104,29 +120,18 @@
         if (isChanged) onChange(this)
     }
 
-    private fun apply(changes: List<Change>, next: Revision) {
-        changes.forEach { change ->
+    private fun apply(result: WatchResult.Changes) {
+        result.changes.forEach { change ->
             val present = change.present
             if (present == null) held.remove(change.name) else held[change.name] = present
         }
-        asOf = next
-        newestChange = changes.maxOfOrNull { it.revision } ?: newestChange
-        if (changes.isNotEmpty()) onChange(this)
-    }
-
-    private fun reached() {
-        val since = failingSince ?: return
-        failingSince = null
-        val now = MonotonicTime.now()
-        if (now - since > BLINK) recoveredAt = now
-        log.belief("store regained", "kind" to kind.text, "afterMs" to (now - since).inWholeMilliseconds)
+        asOf = result.asOf
+        newestChange = result.changes.maxOfOrNull { it.revision } ?: newestChange
+        if (result.changes.isNotEmpty()) onChange(this)
     }
 
     private suspend fun failed(error: StoreError) {
-        if (failingSince == null) {
-            failingSince = MonotonicTime.now()
-            log.belief("store lost", "kind" to kind.text, "error" to error.toString(), "revision" to asOf.number)
-        }
+        contact.failed(error.toString())
         delay(RETRY_PAUSE)
     }
 
@@ -134,6 +139,6 @@
         val DEFAULT_PAUSE = 20.milliseconds
         val LONGEST_WATCH = 20.seconds
         val RETRY_PAUSE = 250.milliseconds
-        val BLINK = 1.seconds
+        val READING_CHECK = 100.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ViewExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ViewExchange.kt
@@ -2,10 +2,12 @@
 
 import kotlinx.serialization.json.Json
 import org.guavapath.core.identity.VmId
+import org.guavapath.core.store.Change
 import org.guavapath.core.store.Listing
 import org.guavapath.core.store.ObjectKind
 import org.guavapath.core.store.Revision
 import org.guavapath.core.store.StoredObject
+import org.guavapath.core.store.WatchResult
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.peers.PeerMessage
 import org.guavapath.daemon.peers.PeerSender
@@ -16,9 +18,17 @@
  *
  * A gateway that lacks a change which another has, for longer than the store's own delay, asks for it.
  */
-internal class ViewExchange(private val views: List<StoreView>, private val peers: PeerSender) {
+internal class ViewExchange(
+    private val views: List<StoreView>,
+    private val peers: PeerSender,
+    private val routes: PeerRoutes,
+) {
     private val behindSince = HashMap<StoreView, MonotonicTime>()
 
+    init {
+        views.forEach { view -> view.onWatched = { after, changes -> push(view, after, changes) } }
+    }
+
     /** Whether the store serves all views. */
     val areServed: Boolean get() = views.all { it.isServed }
 
@@ -29,30 +39,66 @@
     fun isUpToDate(kind: ObjectKind, theirs: Map<String, Long>): Boolean =
         views.filter { it.kind == kind }.all { (theirs[it.kind.text] ?: 0) >= it.newestChange.number }
 
-    /** Compares with the changes that [from] has, and asks for its copy of what is missing here for too long. */
-    fun heard(from: VmId, theirs: Map<String, Long>) {
+    /** Reads the store or follows a hub, as the routes are now, and asks linked gateways for a first copy. */
+    fun refresh() {
+        views.forEach { it.isReading = routes.isReader }
+        if (routes.isReader) return
+        val first = routes.linkedPeers.firstOrNull() ?: return
+        views.filter { it.asOf == Revision.NONE }.forEach { peers.send(first, PeerMessage.ViewWanted(it.kind.text)) }
+    }
+
+    /**
+     * Compares with the changes that [from] has, and asks for its copy of what is missing here for too long.
+     *
+     * @param isServed whether the store serves [from]
+     */
+    fun heard(from: VmId, theirs: Map<String, Long>, isServed: Boolean) {
         val now = MonotonicTime.now()
+        views.filter { !it.isReading }.forEach {
+            if (isServed) it.contact.reached() else it.contact.failed("the hub ${from.text} is not served")
+        }
         views.forEach { catchUp(it, from, Revision(theirs[it.kind.text] ?: 0), now) }
     }
 
     /** Sends [to] this gateway's copy of a kind. */
     fun share(to: VmId, wanted: PeerMessage.ViewWanted) {
-        val view = views.firstOrNull { it.kind.text == wanted.kind } ?: return
-        val objects = view.objects.mapValues {
-            PeerMessage.SharedObject(it.value.revision.number, it.value.value.toString())
-        }
+        val view = views.firstOrNull { it.kind.text == wanted.kind && it.asOf > Revision.NONE } ?: return
+        val objects = view.objects.mapValues { shared(it.value) }
         peers.send(to, PeerMessage.ViewContent(wanted.kind, view.asOf.number, objects))
     }
 
     /** Takes over another gateway's copy of a kind. */
     fun adopt(from: VmId, content: PeerMessage.ViewContent) {
         val view = views.firstOrNull { it.kind.text == content.kind } ?: return
-        val objects = content.objects.mapValues { (name, shared) ->
-            StoredObject(name, Revision(shared.revision), Json.parseToJsonElement(shared.json))
-        }
+        val objects = content.objects.mapValues { (name, shared) -> stored(name, shared) }
         view.adopt(Listing(objects, Revision(content.asOf)), from.text)
     }
 
+    /** Takes over changes that [from] watched. */
+    fun adopt(from: VmId, message: PeerMessage.ViewChanged) {
+        val view = views.firstOrNull { it.kind.text == message.kind } ?: return
+        val changes = message.changes.map {
+            Change(
+                it.name,
+                Revision(it.revision),
+                it.present?.let { shared -> stored(it.name, shared) }
+            )
+        }
+        val isNext = view.adopt(WatchResult.Changes(changes, Revision(message.asOf)), Revision(message.after))
+        if (!isNext) peers.send(from, PeerMessage.ViewWanted(message.kind))
+    }
+
+    private fun push(view: StoreView, after: Revision, result: WatchResult.Changes) {
+        if (routes.members.isEmpty() || result.changes.isEmpty()) return
+        val changes = result.changes.map { change ->
+            PeerMessage.SharedChange(change.name, change.revision.number, change.present?.let(::shared))
+        }
+        val message = PeerMessage.ViewChanged(view.kind.text, after.number, result.asOf.number, changes)
+        routes.members.forEach { peers.send(it, message) }
+    }
+
+    private fun shared(stored: StoredObject) = PeerMessage.SharedObject(stored.revision.number, stored.value.toString())
+
     private fun catchUp(view: StoreView, from: VmId, theirs: Revision, now: MonotonicTime) {
         if (theirs <= view.asOf) {
             behindSince.remove(view)
@@ -69,3 +115,6 @@
         val USUAL_DELAY = 600.milliseconds
     }
 }
+
+private fun stored(name: String, shared: PeerMessage.SharedObject) =
+    StoredObject(name, Revision(shared.revision), Json.parseToJsonElement(shared.json))
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/DialledLink.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerLink.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
+import org.guavapath.core.identity.VmId
 import kotlin.time.Duration.Companion.seconds
 
 private val HEARTBEAT_INTERVAL = 1.seconds
@@ -15,8 +16,13 @@
 /** A link is closed when nothing came for so long. */
 internal val SILENCE_LIMIT = 3.seconds
 
-/** An open link that this VM dialled: messages go out, heartbeats come back. */
-internal class DialledLink(private val input: ByteReadChannel, private val output: ByteWriteChannel) {
+/** An open link with [peer]; messages go both ways, and the side that dialled asks for signs of life. */
+internal class PeerLink(
+    val peer: VmId,
+    private val input: ByteReadChannel,
+    private val output: ByteWriteChannel,
+    private val role: LinkRole,
+) {
     private val queue = Channel<PeerMessage>(QUEUE_SIZE)
 
     /** Queues [message]; it is dropped if the queue is full. */
@@ -24,20 +30,27 @@
         queue.trySend(message)
     }
 
-    /** Runs the link until it fails or is silent; [onOpen] runs once at the start. */
-    suspend fun run(onOpen: suspend () -> Unit) = coroutineScope {
+    /** Runs the link until it fails or is silent; [receiver] gets what comes. */
+    suspend fun run(receiver: PeerReceiver) = coroutineScope {
         launch { writeAll() }
-        launch { readHeartbeats() }
-        launch { beat() }
-        onOpen()
+        launch { readAll(receiver) }
+        if (role == LinkRole.DIALLER) {
+            launch { beat() }
+            receiver.linked(peer)
+        }
     }
 
     private suspend fun writeAll() {
         for (message in queue) PeerFrames.write(output, message)
     }
 
-    private suspend fun readHeartbeats() {
-        while (true) withTimeout(SILENCE_LIMIT) { PeerFrames.read(input) }
+    private suspend fun readAll(receiver: PeerReceiver) {
+        while (true) {
+            when (val message = withTimeout(SILENCE_LIMIT) { PeerFrames.read(input) }) {
+                is PeerMessage.Heartbeat -> if (role == LinkRole.ACCEPTOR) send(PeerMessage.Heartbeat)
+                else -> receiver.received(peer, message)
+            }
+        }
     }
 
     private suspend fun beat() {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -105,6 +105,19 @@
     @Serializable
     data class ViewContent(val kind: String, val asOf: Long, val objects: Map<String, SharedObject>) : OfFleet()
 
+    /** Changes of [kind] that the sender, a hub, saw after the revision [after]. */
+    @Serializable
+    data class ViewChanged(
+        val kind: String,
+        val after: Long,
+        val asOf: Long,
+        val changes: List<SharedChange>,
+    ) : OfFleet()
+
+    /** One change; [present] is null for an object that was removed. */
+    @Serializable
+    data class SharedChange(val name: String, val revision: Long, val present: SharedObject?)
+
     /** An object as it lies in the store. */
     @Serializable
     data class SharedObject(val revision: Long, val json: String)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerTask.kt
@@ -1,9 +1,9 @@
 /**
  * The links to other daemons.
  *
- * This VM dials every address that it knows and sends on the links that it dialled; links that
- * others dialled are read only, but for heartbeats. A link that is silent for too long is closed
- * and dialled again.
+ * This VM dials the addresses that it is told to. It sends on the links that it dialled, and on those
+ * that others dialled where it has none of its own. A link that is silent for too long is closed and
+ * dialled again.
  */
 package org.guavapath.daemon.peers
 
@@ -41,10 +41,11 @@
 internal class PeerTask(private val listen: ListenAddress, private val handshake: PeerHandshake) : PeerSender {
     private val logger = KotlinLogging.logger {}
     private val selector = SelectorManager(Dispatchers.IO)
-    private val links = ConcurrentHashMap<VmId, DialledLink>()
+    private val links = ConcurrentHashMap<VmId, PeerLink>()
+    private val accepted = ConcurrentHashMap<VmId, PeerLink>()
     private val dialled = ConcurrentHashMap<String, Job>()
 
-    /** VMs that messages can be sent to now. */
+    /** VMs that this one dialled and is linked with now. */
     val linkedPeers: Set<VmId> get() = links.keys
 
     /** Starts to listen and returns the address in use; [receiver] gets all messages. */
@@ -65,7 +66,7 @@
     }
 
     override fun send(to: VmId, message: PeerMessage) {
-        links[to]?.send(message)
+        (links[to] ?: accepted[to])?.send(message)
     }
 
     override fun sendToAll(message: PeerMessage) = links.values.forEach { it.send(message) }
@@ -78,15 +79,7 @@
     }
 
     private suspend fun serve(socket: Socket, receiver: PeerReceiver) = socket.use {
-        val input = socket.openReadChannel()
-        val output = socket.openWriteChannel()
-        val other = withTimeout(SILENCE_LIMIT) { handshake.open(input, output, LinkRole.ACCEPTOR) }
-        while (true) {
-            when (val message = withTimeout(SILENCE_LIMIT) { PeerFrames.read(input) }) {
-                is PeerMessage.Heartbeat -> PeerFrames.write(output, PeerMessage.Heartbeat)
-                else -> receiver.received(other.vm, message)
-            }
-        }
+        run(LinkRole.ACCEPTOR, socket, accepted, receiver)
     }
 
     private suspend fun dialForever(address: String, receiver: PeerReceiver) {
@@ -94,22 +87,29 @@
         val port = address.substringAfterLast(':').toInt()
         while (true) {
             guarded(address) {
-                withTimeout(SILENCE_LIMIT) { aSocket(selector).tcp().connect(host, port) }.use { hold(it, receiver) }
+                withTimeout(SILENCE_LIMIT) { aSocket(selector).tcp().connect(host, port) }
+                    .use { run(LinkRole.DIALLER, it, links, receiver) }
             }
             delay(REDIAL_PAUSE)
         }
     }
 
-    private suspend fun hold(socket: Socket, receiver: PeerReceiver) {
+    /** Opens a link on [socket] and keeps it among [present] until it ends. */
+    private suspend fun run(
+        role: LinkRole,
+        socket: Socket,
+        present: ConcurrentHashMap<VmId, PeerLink>,
+        receiver: PeerReceiver,
+    ) {
         val input = socket.openReadChannel()
         val output = socket.openWriteChannel()
-        val other = withTimeout(SILENCE_LIMIT) { handshake.open(input, output, LinkRole.DIALLER) }
-        val link = DialledLink(input, output)
-        links[other.vm] = link
+        val other = withTimeout(SILENCE_LIMIT) { handshake.open(input, output, role) }
+        val link = PeerLink(other.vm, input, output, role)
+        present[other.vm] = link
         try {
-            link.run { receiver.linked(other.vm) }
+            link.run(receiver)
         } finally {
-            links.remove(other.vm, link)
+            present.remove(other.vm, link)
         }
     }
 
