--- a/core/src/main/kotlin/org/guavapath/core/fleet/FleetConfiguration.kt
+++ b/core/src/main/kotlin/org/guavapath/core/fleet/FleetConfiguration.kt
@@ -6,7 +6,6 @@
 
 import org.guavapath.core.identity.FailureDomainName
 import org.guavapath.core.identity.KeyHash
-import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.RequestId
 import org.guavapath.core.identity.WorkspaceName
 import kotlin.time.Duration
@@ -76,7 +75,6 @@
  * @property priority rank among routes, 0 first
  * @property replicaLimit most replicas that may run one request
  * @property isOpen whether callers need no key
- * @property carriesPrompt whether requests name a model and the parts of their prompt
  */
 public data class FleetRoute(
     public val name: String,
@@ -89,7 +87,6 @@
     public val targets: List<RouteTarget>,
     public val replicaLimit: Int,
     public val isOpen: Boolean,
-    public val carriesPrompt: Boolean,
 ) {
     /** Returns the service for the request [id], by weight; the same request always gets the same one. */
     public fun targetFor(id: RequestId): ServiceName? {
@@ -103,19 +100,6 @@
     }
 }
 
-/**
- * The engine that runs on each replica of a model service.
- *
- * @property slots requests that run at once
- * @property cacheTokens tokens that fit into the memory of one replica
- * @property models the models that it serves
- */
-public data class EngineCapacity(
-    public val slots: Int,
-    public val cacheTokens: Long,
-    public val models: List<ModelName>,
-)
-
 /**
  * A store of cached prompt parts that replicas save to and fetch from.
  *
@@ -129,13 +113,11 @@
  *
  * @property name its name
  * @property connectionLimit connections that one replica accepts from all callers
- * @property engine the engine of a model service, null for plain services
  * @property cacheStore set if the service is a store of cached prompt parts
  */
 public data class FleetService(
     public val name: ServiceName,
     public val connectionLimit: Int,
-    public val engine: EngineCapacity?,
     public val cacheStore: CacheStore?,
 )
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaCalls.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaCalls.kt
@@ -19,11 +19,13 @@
 
 /** Why a call brought no answer. */
 internal sealed class CallFailure {
+    abstract val reason: String
+
     /** The replica did not get the call. */
-    class NotSent(val reason: String) : CallFailure()
+    data class NotSent(override val reason: String) : CallFailure()
 
     /** The replica may have got the call. */
-    class NoAnswer(val reason: String) : CallFailure()
+    data class NoAnswer(override val reason: String) : CallFailure()
 }
 
 /** Calls to replicas that are not callers' requests: reports and orders. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
@@ -1,7 +1,10 @@
 package org.guavapath.daemon.gateway
 
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapError
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.guavapath.core.fleet.Replica
@@ -62,7 +65,8 @@
 
     private suspend fun give(order: WeightsOrder, replica: Replica, token: Long, acceptedOrders: Long): OrderReply? {
         val body = ReplicaCodec.orderBody(order, holder, token, acceptedOrders)
-        val answer = calls.order(replica, body, ORDER_LIMIT).get()
+        val result = calls.order(replica, body, ORDER_LIMIT)
+        val answer = result.get()
         val reply = answer?.let { ReplicaCodec.orderReply(it.status) }
         log.belief(
             "weights ordered",
@@ -72,6 +76,7 @@
             "acceptedOrders" to acceptedOrders,
             "reply" to (reply?.name ?: "none"),
             "status" to answer?.status,
+            "error" to result.getError()?.toString(),
         )
         return reply
     }
@@ -94,9 +99,10 @@
     }
 
     private suspend fun report(replica: Replica): ReplicaReport? {
-        val answer = calls.report(replica, REPORT_LIMIT).get() ?: return null
-        return ReplicaCodec.report(answer.body).getOrElse {
-            log.belief("report not readable", "replica" to replica.id.text, "error" to it)
+        val report = calls.report(replica, REPORT_LIMIT).mapError { it.toString() }
+            .andThen { ReplicaCodec.report(it.body) }
+        return report.getOrElse {
+            log.belief("no report", "replica" to replica.id.text, "error" to it)
             null
         }
     }
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 mvn -q -B -DskipTests -pl daemon -am package
 rm -f target/guavapath-gateway.jsa
-java -Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:CompileThresholdScaling=10 -Xlog:cds=off -Xlog:cds+dynamic=off \
+java -Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xlog:cds=off -Xlog:cds+dynamic=off \
   -XX:ArchiveClassesAtExit=target/guavapath-gateway.jsa -jar target/guavapath-gateway.jar --rehearse > target/rehearsal.log 2>&1 ||
   echo "no class archive; the gateway starts more slowly without it"
