--- /dev/null
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
@@ -0,0 +1,102 @@
+package org.guavapath.daemon.gateway
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonPrimitive
+import org.guavapath.core.store.Change
+import org.guavapath.core.store.Listing
+import org.guavapath.core.store.ObjectKind
+import org.guavapath.core.store.ObjectStore
+import org.guavapath.core.store.Revision
+import org.guavapath.core.store.StoreError
+import org.guavapath.core.store.StoredObject
+import org.guavapath.core.store.WatchResult
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+class StoreViewTest {
+    /** A store that is down, and counts the calls. */
+    private class DownStore : ObjectStore {
+        var calls = 0
+
+        private fun refused(): Result<Nothing, StoreError> {
+            calls += 1
+            return Err(StoreError.Refused("down"))
+        }
+
+        override suspend fun list(kind: ObjectKind): Result<Listing, StoreError> = refused()
+
+        override suspend fun watch(
+            kind: ObjectKind,
+            after: Revision,
+            longest: Duration,
+        ): Result<WatchResult, StoreError> = refused()
+
+        override suspend fun read(kind: ObjectKind, name: String): Result<StoredObject?, StoreError> = refused()
+
+        override suspend fun create(
+            kind: ObjectKind,
+            name: String,
+            value: JsonElement,
+        ): Result<StoredObject, StoreError> = refused()
+
+        override suspend fun replace(
+            kind: ObjectKind,
+            name: String,
+            value: JsonElement,
+            condition: Revision,
+        ): Result<StoredObject, StoreError> = refused()
+
+        override suspend fun remove(kind: ObjectKind, name: String, condition: Revision): Result<Unit, StoreError> =
+            refused()
+    }
+
+    private val store = DownStore()
+    private val view = StoreView(ObjectKind("kind"), store, GatewayLog()) {}
+
+    private fun stored(name: String, revision: Long) = StoredObject(name, Revision(revision), JsonPrimitive(revision))
+
+    private fun adopt(after: Long, asOf: Long, name: String, isRemoved: Boolean = false): Boolean {
+        val change = Change(name, Revision(asOf), if (isRemoved) null else stored(name, asOf))
+        return view.adopt(WatchResult.Changes(listOf(change), Revision(asOf)), Revision(after))
+    }
+
+    @Test
+    fun aCopyTakesChangesInOrderOnly() {
+        data class Step(val after: Long, val asOf: Long, val isTaken: Boolean, val names: Set<String>)
+        view.adopt(Listing(mapOf("first" to stored("first", 5)), Revision(5)), "hub")
+        listOf(
+            Step(after = 5, asOf = 7, isTaken = true, names = setOf("first", "change-7")),
+            Step(after = 5, asOf = 6, isTaken = true, names = setOf("first", "change-7")),
+            Step(after = 9, asOf = 10, isTaken = false, names = setOf("first", "change-7")),
+            Step(after = 6, asOf = 12, isTaken = true, names = setOf("first", "change-7", "change-12")),
+        ).forEach { step ->
+            assertEquals(step.isTaken, adopt(step.after, step.asOf, "change-${step.asOf}"), "$step")
+            assertEquals(step.names, view.objects.keys, "$step")
+        }
+        adopt(after = 12, asOf = 13, name = "first", isRemoved = true)
+        assertEquals(setOf("change-7", "change-12"), view.objects.keys)
+    }
+
+    @Test
+    fun aCopyNeverGoesBack() {
+        view.adopt(Listing(mapOf("new" to stored("new", 9)), Revision(9)), "hub")
+        view.adopt(Listing(mapOf("old" to stored("old", 3)), Revision(3)), "other")
+        assertEquals(setOf("new"), view.objects.keys)
+    }
+
+    @Test
+    fun onlyAReaderCallsTheStore() = runBlocking {
+        view.isReading = false
+        withTimeoutOrNull(300.milliseconds) { view.follow() }
+        assertEquals(0, store.calls)
+        view.isReading = true
+        withTimeoutOrNull(300.milliseconds) { view.follow() }
+        assertEquals(true, store.calls > 0)
+    }
+}
