--- a/core/src/main/kotlin/org/guavapath/core/topology/LinkPlan.kt
+++ b/core/src/main/kotlin/org/guavapath/core/topology/LinkPlan.kt
@@ -10,6 +10,14 @@
 import org.guavapath.core.identity.FailureDomainName
 import org.guavapath.core.identity.VmId
 
+/**
+ * What decides the place of a VM.
+ *
+ * @property domain its failure domain
+ * @property processors cores that it may use; hubs are VMs with many, as they work for others
+ */
+public data class LinkSite(public val domain: FailureDomainName, public val processors: Double)
+
 /** The part of one VM in the exchange between VMs. */
 public sealed class LinkRole {
     /** Linked with all others; each tells of itself alone. */
@@ -49,16 +57,17 @@
         /**
          * Returns the links of [self] in a fleet.
          *
-         * @param domains the failure domain of each VM, [self] included
+         * @param sites all VMs, [self] included
          * @param unreachable VMs that [self] has tried to reach in vain; they are no hubs for it
          * @throws IllegalArgumentException if [self] is not in the fleet
          */
-        public fun of(self: VmId, domains: Map<VmId, FailureDomainName>, unreachable: Set<VmId>): LinkPlan {
-            val own = requireNotNull(domains[self]) { "$self is none of the ${domains.size} VMs" }
-            return if (domains.size <= LARGEST_MESH) {
-                LinkPlan(LinkRole.Equal, domains.keys.filter { it != self }.sorted(), emptySet())
+        public fun of(self: VmId, sites: Map<VmId, LinkSite>, unreachable: Set<VmId>): LinkPlan {
+            val own = requireNotNull(sites[self]) { "$self is none of the ${sites.size} VMs" }
+            return if (sites.size <= LARGEST_MESH) {
+                LinkPlan(LinkRole.Equal, sites.keys.filter { it != self }.sorted(), emptySet())
             } else {
-                withHubs(self, own, domains.entries.groupBy({ it.value }, { it.key }), unreachable - self)
+                val ranked = sites.entries.sortedWith(compareBy({ -it.value.processors }, { it.key }))
+                withHubs(self, own.domain, ranked.groupBy({ it.value.domain }, { it.key }), unreachable - self)
             }
         }
 
@@ -75,10 +84,9 @@
         }
 
         /** The first reachable VMs; those before them stay linked, so that they come back into their place. */
-        private fun hubs(vms: List<VmId>, unreachable: Set<VmId>): List<VmId> {
-            val sorted = vms.sorted()
-            val last = sorted.filter { it !in unreachable }.take(HUBS).lastOrNull() ?: return sorted.take(HUBS)
-            return sorted.take(sorted.indexOf(last) + 1)
+        private fun hubs(ranked: List<VmId>, unreachable: Set<VmId>): List<VmId> {
+            val last = ranked.filter { it !in unreachable }.take(HUBS).lastOrNull() ?: return ranked.take(HUBS)
+            return ranked.take(ranked.indexOf(last) + 1)
         }
     }
 }
--- a/core/src/test/kotlin/org/guavapath/core/topology/LinkPlanTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/topology/LinkPlanTest.kt
@@ -10,8 +10,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 class LinkPlanTest {
-    private fun fleet(size: Int, domains: Int): Map<VmId, FailureDomainName> =
-        (0 until size).associate { VmId("vm-%03d".format(it)) to FailureDomainName("domain-${it % domains}") }
+    private fun fleet(size: Int, domains: Int): Map<VmId, LinkSite> = (0 until size).associate {
+        VmId("vm-%03d".format(it)) to LinkSite(FailureDomainName("domain-${it % domains}"), processors = 0.5)
+    }
 
     @Test
     fun linksPerVmStayFew() {
@@ -56,6 +57,14 @@
         assertEquals(listOf("vm-000", "vm-003", "vm-006"), member.hubs.map { it.text })
     }
 
+    @Test
+    fun hubsAreTheVmsWithTheMostProcessors() {
+        val large = setOf(VmId("vm-040"), VmId("vm-080"))
+        val fleet = fleet(85, 1).mapValues { (vm, site) -> if (vm in large) site.copy(processors = 1.5) else site }
+        val hubs = fleet.keys.filter { LinkPlan.of(it, fleet, emptySet()).role == LinkRole.Hub }
+        assertEquals(large, hubs.toSet())
+    }
+
     @Test
     fun aVmThatReachesNobodyIsAHubForItself() {
         val fleet = fleet(85, 3)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -39,12 +39,8 @@
     private val operator = OperatorState(fleet, log)
     private val pool = ReplicaPool(loop)
     private val replicas = ReplicaList(fleet, pool, log)
-    private val members = Members(
-        settings.vm,
-        MemberEntry(settings.peers, settings.failureDomain, incarnation),
-        store,
-        log
-    )
+    private val entry = MemberEntry(settings.peers, settings.failureDomain, settings.usableProcessors, incarnation)
+    private val members = Members(settings.vm, entry, store, log)
     private val peers = PeerTask(
         SocketAddress.of(settings.peers).let { ListenAddress(it.host, it.port) },
         PeerHandshake(settings.vm, incarnation, settings.peerSecrets),
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewaySettings.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewaySettings.kt
@@ -17,6 +17,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 private const val LARGEST_NUMBER = 1_000_000_000L
+private const val MOST_PROCESSORS = 1_024.0
 private const val LARGEST_RATIO_PERCENT = 100.0
 
 /** An IP number and a port. */
@@ -41,6 +42,8 @@
  * @property store the platform's store
  * @property peerSeeds addresses of some other gateways
  * @property peerSecrets secrets that gateways prove to each other
+ * @property processors processor cores of this VM
+ * @property processorShare part of each core that it may use
  * @property isFirstStart whether the whole fleet starts for the first time
  * @property drainMilliseconds longest graceful shutdown
  * @property repeatRatio repeats that are allowed for each request
@@ -57,6 +60,8 @@
     val store: String,
     val peerSeeds: List<String> = emptyList(),
     val peerSecrets: List<String>,
+    val processors: Double = 1.0,
+    val processorShare: Double = 1.0,
     val isFirstStart: Boolean = false,
     val drainMilliseconds: Long,
     val repeatRatio: Double,
@@ -64,6 +69,7 @@
     val repeatSlack: Double,
 ) {
     val drainLimit: Duration get() = drainMilliseconds.milliseconds
+    val usableProcessors: Double get() = processors * processorShare
     val repeatWindow: Duration get() = repeatWindowSeconds.seconds
 
     companion object {
@@ -83,6 +89,8 @@
             required("store", address)
             optional("peerSeeds", Schema.ListOf(address))
             required("peerSecrets", Schema.ListOf(secret))
+            optional("processors", Schema.Number(0.0, MOST_PROCESSORS))
+            optional("processorShare", Schema.Number(0.0, 1.0))
             optional("isFirstStart", Schema.Truth)
             required("drainMilliseconds", count)
             required("repeatRatio", Schema.Number(0.0, LARGEST_RATIO_PERCENT))
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
@@ -17,9 +17,20 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** How a gateway registers itself at the store, under its VM's name. */
+/**
+ * How a gateway registers itself at the store, under its VM's name.
+ *
+ * @property peers where it listens for other gateways
+ * @property domain its failure domain
+ * @property processors processor cores that it may use
+ */
 @Serializable
-internal data class MemberEntry(val peers: String, val domain: FailureDomainName, val incarnation: Incarnation)
+internal data class MemberEntry(
+    val peers: String,
+    val domain: FailureDomainName,
+    val processors: Double,
+    val incarnation: Incarnation,
+)
 
 /**
  * The gateways of the fleet, each registered by itself at the store.
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerNews.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerNews.kt
@@ -52,7 +52,7 @@
     /** Tells the others which replicas read which shared parts of prompts. */
     suspend fun tellPromptsForever() {
         while (true) {
-            delay(PROMPT_INTERVAL)
+            delay(if (routes.hasHubs) PROMPT_INTERVAL_WITH_HUBS else PROMPT_INTERVAL)
             prompts.tell(fleet.directory)
         }
     }
@@ -88,6 +88,9 @@
     private companion object {
         /** Requests with the same beginning often come within a second of each other. */
         val PROMPT_INTERVAL = 50.milliseconds
+
+        /** A hub tells dozens of members; the first reader of a part is agreed without news. */
+        val PROMPT_INTERVAL_WITH_HUBS = 200.milliseconds
         val URGENT_INTERVAL = 20.milliseconds
         val INTERVAL = 250.milliseconds
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerRoutes.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerRoutes.kt
@@ -6,6 +6,7 @@
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.core.topology.LinkPlan
 import org.guavapath.core.topology.LinkRole
+import org.guavapath.core.topology.LinkSite
 import org.guavapath.core.topology.Reachability
 import org.guavapath.daemon.peers.PeerReceiver
 import org.guavapath.daemon.peers.PeerTask
@@ -57,6 +58,9 @@
             else -> true
         }
 
+    /** Whether gateways hear each other through hubs. */
+    val hasHubs: Boolean get() = plan.role != LinkRole.Equal
+
     /** Whether this gateway looks after the entries of silent ones: each hub, or the first of a small fleet. */
     val isCaretaker: Boolean
         get() = when (plan.role) {
@@ -100,9 +104,10 @@
     /** Takes over the other gateways, with their failure domains and where they listen. */
     fun update(scope: CoroutineScope, others: Map<VmId, MemberEntry>, receiver: PeerReceiver) {
         addresses = others.mapValues { it.value.peers }
-        val domains = others.mapValues { it.value.domain } + (self to settings.failureDomain)
+        val sites = others.mapValues { LinkSite(it.value.domain, it.value.processors) } +
+            (self to LinkSite(settings.failureDomain, settings.usableProcessors))
         val before = plan
-        plan = LinkPlan.of(self, domains, reachability.unreachable(MonotonicTime.now()))
+        plan = LinkPlan.of(self, sites, reachability.unreachable(MonotonicTime.now()))
         fleet.quota.isHub = plan.role == LinkRole.Hub
         val wanted = plan.hubs.mapNotNull { addresses[it] }.toSet()
         if (others.isNotEmpty()) peers.keepOnly(wanted)
