--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Main.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Main.kt
@@ -36,6 +36,7 @@
 }
 
 private fun rehearse(): Nothing {
+    onSignals(end = {}, reload = {})
     val answered = Rehearsal().run()
     println("rehearsal: $answered requests answered")
     exitProcess(if (answered > 0) 0 else EXIT_REHEARSAL_FAILED)
@@ -44,14 +45,18 @@
 private fun run(settings: GatewaySettings, path: String) {
     val gateway = Gateway(settings, ObjectStoreClient(settings.store))
     val ended = CountDownLatch(1)
-    Signal.handle(Signal("TERM")) { ended.countDown() }
-    Signal.handle(Signal("HUP")) { reload(settings, path) }
+    onSignals(end = { ended.countDown() }, reload = { reload(settings, path) })
     gateway.start()
     ended.await()
     gateway.shutDown()
     exitProcess(0)
 }
 
+private fun onSignals(end: () -> Unit, reload: () -> Unit) {
+    Signal.handle(Signal("TERM")) { end() }
+    Signal.handle(Signal("HUP")) { reload() }
+}
+
 /** Checks the settings again. Addresses and names hold for the life of the process. */
 private fun reload(before: GatewaySettings, path: String) {
     val logger = KotlinLogging.logger("org.guavapath.gateway")
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Rehearsal.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Rehearsal.kt
@@ -3,10 +3,12 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.JsonElement
-import org.guavapath.core.identity.FailureDomainName
-import org.guavapath.core.identity.VmId
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
 import org.guavapath.core.store.Listing
 import org.guavapath.core.store.ObjectKind
 import org.guavapath.core.store.ObjectStore
@@ -22,6 +24,7 @@
 import java.net.Socket
 import kotlin.concurrent.thread
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 private const val LOOPBACK = "127.0.0.1"
 private const val REQUESTS = 50
@@ -29,9 +32,10 @@
 private const val CLOSED_PORT = 9
 
 /**
- * Runs a gateway on loopback for a moment, with a store in memory and one replica, and sends it requests.
+ * Runs two gateways on loopback for a moment, with a store in memory and one replica, and sends one of them requests.
  *
- * The build archives the classes that this loads, so that a gateway starts in a fraction of the time.
+ * The build archives the classes that this loads, so that a gateway starts in a fraction of the time. Each class that
+ * is missing from the archive costs every start, so that the rehearsal goes all the ways that a gateway goes.
  */
 internal class Rehearsal {
     private val replica = ServerSocket(0, REQUESTS, InetAddress.getByName(LOOPBACK))
@@ -40,30 +44,24 @@
     /** Runs the rehearsal and returns how many requests were answered whole. */
     fun run(): Int {
         thread(isDaemon = true) { while (true) answerAll(replica.accept()) }
-        val callers = freePort()
-        val gateway = Gateway(settings(callers), SampleStore(sample))
-        gateway.start()
+        val seed = SampleSettings(vm = "first")
+        val second = SampleSettings(vm = "second", seeds = listOf(seed.peers))
+        val gateways = listOf(seed, second).map { Gateway(it.read(), SampleStore(sample)) }
+        gateways.forEach { it.start() }
         Thread.sleep(SETTLE_MILLISECONDS)
-        kotlinx.coroutines.runBlocking { ObjectStoreClient("$LOOPBACK:$CLOSED_PORT").list(StoreKinds.REPLICAS) }
-        val answered = (1..REQUESTS).count { ask(callers) }
-        gateway.shutDown()
+        callStore()
+        val answered = (1..REQUESTS).count { ask(second.callers) }
+        gateways.forEach { it.shutDown() }
         return answered
     }
 
-    private fun settings(callers: Int) = GatewaySettings(
-        vm = VmId("rehearsal"),
-        failureDomain = FailureDomainName("domain"),
-        callers = "$LOOPBACK:$callers",
-        readiness = "$LOOPBACK:${freePort()}",
-        peers = "$LOOPBACK:${freePort()}",
-        store = "$LOOPBACK:$CLOSED_PORT",
-        peerSecrets = listOf("a secret of the rehearsal"),
-        isFirstStart = true,
-        drainMilliseconds = 1_000,
-        repeatRatio = 1.0,
-        repeatWindowSeconds = 1,
-        repeatSlack = 1.0,
-    )
+    /** Goes through calls that fail at once, since nothing listens. */
+    private fun callStore() = runBlocking {
+        val client = ObjectStoreClient("$LOOPBACK:$CLOSED_PORT")
+        client.list(StoreKinds.REPLICAS)
+        client.create(StoreKinds.REPLICAS, "name", JsonObject(mapOf("field" to JsonPrimitive(1))))
+        client.watch(StoreKinds.REPLICAS, Revision.NONE, SETTLE_MILLISECONDS.milliseconds)
+    }
 
     private fun ask(port: Int): Boolean = Socket(LOOPBACK, port).use { socket ->
         socket.getOutputStream().write(sample.request.toByteArray())
@@ -80,6 +78,28 @@
             socket.getOutputStream().write(sample.answer.toByteArray())
         }
     }
+}
+
+/**
+ * Settings of a gateway on free ports of loopback.
+ *
+ * @property vm its name
+ * @property seeds ports of other gateways
+ */
+internal class SampleSettings(private val vm: String, private val seeds: List<Int> = emptyList()) {
+    val callers = freePort()
+    val readiness = freePort()
+    val peers = freePort()
+
+    /** Returns the settings as a file with them is read. */
+    fun read(): GatewaySettings = GatewaySettings.read(
+        """
+        {"vm": "$vm", "failureDomain": "domain", "callers": "$LOOPBACK:$callers",
+         "readiness": "$LOOPBACK:$readiness", "peers": "$LOOPBACK:$peers", "store": "$LOOPBACK:$CLOSED_PORT",
+         "peerSeeds": [${seeds.joinToString { "\"$LOOPBACK:$it\"" }}], "peerSecrets": ["a secret of the samples"],
+         "drainMilliseconds": 1000, "repeatRatio": 1.0, "repeatWindowSeconds": 1, "repeatSlack": 1.0}
+        """,
+    ).getOrElse { error("the sample settings are wrong: $it") }
 
     private fun freePort(): Int = ServerSocket(0).use { it.localPort }
 }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
@@ -1,7 +1,5 @@
 package org.guavapath.daemon.gateway
 
-import org.guavapath.core.identity.FailureDomainName
-import org.guavapath.core.identity.VmId
 import org.guavapath.platform.wire.SampleFleet
 import java.net.InetAddress
 import java.net.ServerSocket
@@ -21,11 +19,12 @@
 class GatewayTest {
     private val replica = ServerSocket(0, 100, InetAddress.getByName(LOOPBACK))
     private val sample = SampleFleet("$LOOPBACK:${replica.localPort}")
-    private val callers = freePort()
-    private val readiness = freePort()
+    private val settings = SampleSettings(vm = "test")
+    private val callers = settings.callers
+    private val readiness = settings.readiness
     private val heads = LinkedBlockingQueue<List<String>>()
     private val closed = LinkedBlockingQueue<Long>()
-    private val gateway = Gateway(settings(), SampleStore(sample))
+    private val gateway = Gateway(settings.read(), SampleStore(sample))
 
     @Volatile
     private var answer: String? = sample.answer
@@ -42,23 +41,6 @@
     @AfterTest
     fun stop() = replica.close()
 
-    private fun settings() = GatewaySettings(
-        vm = VmId("test"),
-        failureDomain = FailureDomainName("domain"),
-        callers = "$LOOPBACK:$callers",
-        readiness = "$LOOPBACK:$readiness",
-        peers = "$LOOPBACK:${freePort()}",
-        store = "$LOOPBACK:1",
-        peerSecrets = listOf("a secret of this test"),
-        isFirstStart = true,
-        drainMilliseconds = 1_000,
-        repeatRatio = 1.0,
-        repeatWindowSeconds = 1,
-        repeatSlack = 1.0,
-    )
-
-    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
-
     /** Takes requests, answers each if an answer is set, and notes when the gateway closes the connection. */
     private fun serve(socket: Socket) = runCatching {
         val reader = socket.getInputStream().bufferedReader()
