--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -33,6 +33,15 @@
     val endAt: MonotonicTime = minOf(request.deadline, request.receivedAt + route.timeout)
 }
 
+/** What exchanges need of the rest of the gateway. */
+internal interface Surroundings {
+    /** Gateways in the fleet. */
+    val fleetSize: Int
+
+    /** A request goes to a replica. */
+    fun sent()
+}
+
 /** What all exchanges of a gateway share; lives on the event loop. */
 internal class ExchangeContext(
     val loop: EventLoop,
@@ -40,7 +49,7 @@
     val fleet: FleetState,
     val records: GatewayRecords,
     private val settings: GatewaySettings,
-    private val fleetSize: () -> Int,
+    private val surroundings: Surroundings,
 ) {
     private val budgets = HashMap<ServiceName, RepeatBudget>()
 
@@ -49,11 +58,14 @@
 
     /** Takes a repeat from this VM's part of the fleet's budget, if it has one left. */
     fun takeRepeat(service: FleetService): Boolean =
-        budget(service).takeRepeat(settings.repeatSlack / fleetSize(), MonotonicTime.now())
+        budget(service).takeRepeat(settings.repeatSlack / surroundings.fleetSize, MonotonicTime.now())
 
     /** This VM's part of the connections that one replica of [service] accepts. */
     fun connectionsFor(service: FleetService): Int =
-        maxOf(FEWEST_CONNECTIONS, service.connectionLimit / fleetSize())
+        maxOf(FEWEST_CONNECTIONS, service.connectionLimit / surroundings.fleetSize)
+
+    /** A request goes to a replica; other gateways should hear of it soon. */
+    fun sent() = surroundings.sent()
 
     private fun budget(service: FleetService): RepeatBudget =
         budgets.getOrPut(service.name) { RepeatBudget(settings.repeatWindow, settings.repeatRatio) }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeSends.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeSends.kt
@@ -90,6 +90,7 @@
         val attempt = Attempt(context, admitted, result.chosen, handle)
         current = attempt
         attempt.start(instructions(result.chosen))
+        context.sent()
         return null
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -17,7 +17,6 @@
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.time.MonotonicTime
-import org.guavapath.daemon.logging.LogDrops
 import org.guavapath.daemon.peers.PeerHandshake
 import org.guavapath.daemon.peers.PeerMessage
 import org.guavapath.daemon.peers.PeerReceiver
@@ -28,7 +27,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** One gateway. Its state lives on one event loop. */
-internal class Gateway(private val settings: GatewaySettings, private val store: ObjectStore) : PeerReceiver {
+internal class Gateway(private val settings: GatewaySettings, private val store: ObjectStore) :
+    PeerReceiver,
+    Surroundings {
     private val incarnation = Incarnation(System.currentTimeMillis())
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next() as EventLoop
@@ -61,12 +62,16 @@
     private val loader = WeightsLoader(settings.vm.text, lease, ReplicaCalls(pool), log)
     private val rollout = RolloutTask(fleet, lease, loader, exchange)
     private val reception = Reception(
-        ExchangeContext(loop, pool, fleet, records, settings) { members.fleetSize },
+        ExchangeContext(loop, pool, fleet, records, settings, this),
         operator,
     )
 
     private var front: Channel? = null
 
+    override val fleetSize: Int get() = members.fleetSize
+
+    override fun sent() = news.changed()
+
     /** Starts everything. */
     fun start() {
         log.belief(
@@ -75,7 +80,7 @@
             "incarnation" to incarnation.number,
             "settings" to settings.copy(peerSecrets = emptyList()).toString()
         )
-        gauges()
+        records.metrics.observe(pool, operator, fleet.quota)
         viewExchange.refresh()
         views.forEach { scope.launch { it.follow() } }
         scope.launch { peers.start(scope, this@Gateway) }
@@ -107,10 +112,14 @@
     override suspend fun received(from: VmId, message: PeerMessage) {
         when (message) {
             is PeerMessage.FleetStatus -> exchange.heard(from, message, fleet)
-            is PeerMessage.UsageTold -> exchange.usageTold(from, message, fleet)
+            is PeerMessage.UsageTold -> {
+                exchange.usageTold(from, message, fleet)
+                if (fleet.quota.isHub) news.changed()
+            }
             is PeerMessage.PromptsRead -> {
                 exchange.promptsRead(message, fleet.directory)
                 news.promptsRead(from, message)
+                if (fleet.quota.isHub) news.changed()
             }
             is PeerMessage.ViewWanted -> viewExchange.share(from, message)
             is PeerMessage.ViewContent -> viewExchange.adopt(from, message)
@@ -156,15 +165,6 @@
         signs.expect(routes.linked)
     }
 
-    private fun gauges() {
-        records.metrics.gauge("guavapath.gateway.replica.connections.opened") { pool.opened }
-        records.metrics.gauge(
-            "guavapath.gateway.configuration.version"
-        ) { operator.configuration?.version?.number ?: 0 }
-        records.metrics.gauge("guavapath.gateway.log.dropped") { LogDrops.total }
-        records.metrics.gauge("guavapath.gateway.reachable.share") { fleet.quota.reachableShare(MonotonicTime.now()) }
-    }
-
     private companion object {
         val MEMBERS = Members.KIND
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
@@ -5,8 +5,10 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.guavapath.core.quota.FleetQuota
 import org.guavapath.core.results.ResultCode
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.logging.LogDrops
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -32,8 +34,15 @@
         }
     }
 
-    /** Shows the present value of [read] under [name]. */
-    fun gauge(name: String, read: () -> Number) {
+    /** Shows what the gateway holds and believes at each reading. */
+    fun observe(pool: ReplicaPool, operator: OperatorState, quota: FleetQuota) {
+        gauge("guavapath.gateway.replica.connections.opened") { pool.opened }
+        gauge("guavapath.gateway.configuration.version") { operator.configuration?.version?.number ?: 0 }
+        gauge("guavapath.gateway.log.dropped") { LogDrops.total }
+        gauge("guavapath.gateway.reachable.share") { quota.reachableShare(MonotonicTime.now()) }
+    }
+
+    private fun gauge(name: String, read: () -> Number) {
         Gauge.builder(name, read).register(registry)
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerNews.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerNews.kt
@@ -1,5 +1,6 @@
 package org.guavapath.daemon.gateway
 
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import org.guavapath.core.identity.Incarnation
 import org.guavapath.core.identity.VmId
@@ -20,6 +21,8 @@
     private val exchange: PeerExchange,
 ) {
     private val prompts = PromptNews(peers, routes)
+    private val usageNews = Channel<Unit>(Channel.CONFLATED)
+    private val promptNews = Channel<Unit>(Channel.CONFLATED)
 
     /** Tells the others this gateway's status, at once when it changes and now and then when it does not. */
     suspend fun tellStatusForever() {
@@ -36,22 +39,33 @@
         }
     }
 
+    /** A request was sent, or another gateway told of its own: there may be news to pass on. */
+    fun changed() {
+        usageNews.trySend(Unit)
+        promptNews.trySend(Unit)
+    }
+
     /** Tells the others of admissions that use up a large part of a limit, without waiting for the next status. */
     suspend fun tellUsageForever() {
         while (true) {
+            usageNews.receive()
             delay(URGENT_INTERVAL)
-            if (!fleet.quota.hasUrgentNews) continue
-            val usage = fleet.quota.tell()
-            routes.equals.forEach { peers.send(it, PeerMessage.UsageTold(incarnation, routes.vmsOfOwn, usage)) }
-            routes.members.forEach {
-                peers.send(it, PeerMessage.UsageTold(incarnation, routes.vmsOfOthers, fleet.quota.tell(it)))
-            }
+            if (fleet.quota.hasUrgentNews) tellUsage()
+        }
+    }
+
+    private fun tellUsage() {
+        val usage = fleet.quota.tell()
+        routes.equals.forEach { peers.send(it, PeerMessage.UsageTold(incarnation, routes.vmsOfOwn, usage)) }
+        routes.members.forEach {
+            peers.send(it, PeerMessage.UsageTold(incarnation, routes.vmsOfOthers, fleet.quota.tell(it)))
         }
     }
 
     /** Tells the others which replicas read which shared parts of prompts. */
     suspend fun tellPromptsForever() {
         while (true) {
+            promptNews.receive()
             delay(if (routes.hasHubs) PROMPT_INTERVAL_WITH_HUBS else PROMPT_INTERVAL)
             prompts.tell(fleet.directory)
         }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
@@ -32,8 +32,9 @@
 
     suspend fun run(scope: CoroutineScope) {
         while (true) {
-            delay(TICK)
-            if (peers.isRolloutCandidate()) fleet.weights.newestOfAll().keys.forEach { step(scope, it) }
+            val isCandidate = peers.isRolloutCandidate()
+            if (isCandidate) fleet.weights.newestOfAll().keys.forEach { step(scope, it) }
+            delay(if (isCandidate) TICK else IDLE_TICK)
         }
     }
 
@@ -96,5 +97,6 @@
 
     private companion object {
         val TICK = 100.milliseconds
+        val IDLE_TICK = 250.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -2,6 +2,8 @@
 
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
 import org.guavapath.core.store.Listing
 import org.guavapath.core.store.ObjectKind
 import org.guavapath.core.store.ObjectStore
@@ -36,7 +38,7 @@
     val contact = StoreContact(kind, log)
 
     /** Whether this gateway reads the store itself. */
-    var isReading = true
+    val isReading = MutableStateFlow(true)
 
     /** Called with the changes that a watch brought, and the revision before them. */
     var onWatched: (Revision, WatchResult.Changes) -> Unit = { _, _ -> }
@@ -59,7 +61,7 @@
     suspend fun follow() {
         while (true) {
             when {
-                !isReading -> delay(READING_CHECK)
+                !isReading.value -> isReading.first { it }
                 asOf == Revision.NONE -> list()
                 else -> watch()
             }
@@ -139,6 +141,5 @@
         val DEFAULT_PAUSE = 20.milliseconds
         val LONGEST_WATCH = 20.seconds
         val RETRY_PAUSE = 250.milliseconds
-        val READING_CHECK = 100.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ViewExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ViewExchange.kt
@@ -41,7 +41,7 @@
 
     /** Reads the store or follows a hub, as the routes are now, and asks linked gateways for a first copy. */
     fun refresh() {
-        views.forEach { it.isReading = routes.isReader }
+        views.forEach { it.isReading.value = routes.isReader }
         if (routes.isReader) return
         val first = routes.linkedPeers.firstOrNull() ?: return
         views.filter { it.asOf == Revision.NONE }.forEach { peers.send(first, PeerMessage.ViewWanted(it.kind.text)) }
@@ -54,7 +54,7 @@
      */
     fun heard(from: VmId, theirs: Map<String, Long>, isServed: Boolean) {
         val now = MonotonicTime.now()
-        views.filter { !it.isReading }.forEach {
+        views.filter { !it.isReading.value }.forEach {
             if (isServed) it.contact.reached() else it.contact.failed("the hub ${from.text} is not served")
         }
         views.forEach { catchUp(it, from, Revision(theirs[it.kind.text] ?: 0), now) }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
@@ -92,10 +92,10 @@
 
     @Test
     fun onlyAReaderCallsTheStore() = runBlocking {
-        view.isReading = false
+        view.isReading.value = false
         withTimeoutOrNull(300.milliseconds) { view.follow() }
         assertEquals(0, store.calls)
-        view.isReading = true
+        view.isReading.value = true
         withTimeoutOrNull(300.milliseconds) { view.follow() }
         assertEquals(true, store.calls > 0)
     }
