--- a/core/src/main/kotlin/org/guavapath/core/quota/FleetQuota.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quota/FleetQuota.kt
@@ -73,14 +73,12 @@
 
     private val toPassOn: Map<WorkspaceName, Long> get() = if (isHub) totals(relayed::all) else admitted
 
-    /** VMs whose news add up before they reach the others; a hub has added up those of its members. */
-    private val tellers: Int get() = if (isHub) 1 else 1 + members.size
-
     /** Whether so much was admitted and not told that the others should hear of it at once. */
     public val hasUrgentNews: Boolean
         get() = toPassOn.any { (workspace, total) ->
             val untold = Math.abs(total - (told[workspace] ?: 0))
-            untold > 0 && untold >= (buckets[workspace]?.urgentAmount(tellers) ?: 0.0)
+            val tellers = if (isHub) 1 else 1 + members.size
+            untold > 0 && buckets[workspace]?.isUrgent(untold, tellers) ?: true
         }
 
     /** Returns the totals of this VM and its members for a report to its equals. */
--- a/core/src/main/kotlin/org/guavapath/core/quota/SharedBucket.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quota/SharedBucket.kt
@@ -47,8 +47,14 @@
     private var isConfigured = false
     private val plain = PlainAllowance(createdAt)
 
-    /** Tokens on one of [vms] VMs that the others should hear of at once; one such amount on each is half a burst. */
-    public fun urgentAmount(vms: Int): Double = burst * minOf(URGENT_SHARE, ALL_URGENT_SHARE / vms)
+    /**
+     * Whether the others should hear at once of [untold] tokens on one of [tellers] VMs, whose news are not added up
+     * yet. One that knows the sum of all has nothing urgent to tell while the bucket is well filled.
+     */
+    internal fun isUrgent(untold: Long, tellers: Int): Boolean {
+        val isWellFilled = tellers == 1 && level >= burst * WELL_FILLED_SHARE
+        return !isWellFilled && untold >= burst * minOf(URGENT_SHARE, ALL_URGENT_SHARE / tellers)
+    }
 
     private val fullLevel: Double get() = burst * maxOf(share, LEAST_BURST_SHARE)
 
@@ -134,6 +140,7 @@
     private companion object {
         const val URGENT_SHARE = 0.06
         const val ALL_URGENT_SHARE = 0.5
+        const val WELL_FILLED_SHARE = 0.5
         const val LEAST_BURST_SHARE = 0.5
 
         /** Debt in bursts beyond which reports of other VMs no longer add up: they then describe a fault. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -2,6 +2,7 @@
 package org.guavapath.daemon.peers
 
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborArray
 import org.guavapath.core.config.AcceptedChange
 import org.guavapath.core.config.ConfigurationVersion
 import org.guavapath.core.identity.Incarnation
@@ -91,6 +92,7 @@
 
     /** Work at one replica: prompt tokens that are not read yet, and requests. */
     @Serializable
+    @CborArray
     data class SharedLoad(val promptTokens: Long, val requests: Int)
 
     /** The gateway [vm] gives the orders to load weights, with [fencingToken]. */
