--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Rehearsal.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Rehearsal.kt
@@ -85,8 +85,13 @@
  *
  * @property vm its name
  * @property seeds ports of other gateways
+ * @property isFirstStart whether the whole fleet starts for the first time
  */
-internal class SampleSettings(private val vm: String, private val seeds: List<Int> = emptyList()) {
+internal class SampleSettings(
+    private val vm: String,
+    private val seeds: List<Int> = emptyList(),
+    private val isFirstStart: Boolean = false,
+) {
     val callers = freePort()
     val readiness = freePort()
     val peers = freePort()
@@ -97,7 +102,7 @@
         {"vm": "$vm", "failureDomain": "domain", "callers": "$LOOPBACK:$callers",
          "readiness": "$LOOPBACK:$readiness", "peers": "$LOOPBACK:$peers", "store": "$LOOPBACK:$CLOSED_PORT",
          "peerSeeds": [${seeds.joinToString { "\"$LOOPBACK:$it\"" }}], "peerSecrets": ["a secret of the samples"],
-         "drainMilliseconds": 1000, "repeatRatio": 1.0, "repeatWindowSeconds": 1, "repeatSlack": 1.0}
+         "isFirstStart": $isFirstStart, "drainMilliseconds": 1000, "repeatRatio": 1.0, "repeatWindowSeconds": 1, "repeatSlack": 1.0}
         """,
     ).getOrElse { error("the sample settings are wrong: $it") }
 
--- /dev/null
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/HubLinksTest.kt
@@ -0,0 +1,153 @@
+package org.guavapath.daemon.gateway
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.JsonElement
+import org.guavapath.core.store.Change
+import org.guavapath.core.store.Listing
+import org.guavapath.core.store.ObjectKind
+import org.guavapath.core.store.ObjectStore
+import org.guavapath.core.store.Revision
+import org.guavapath.core.store.StoreError
+import org.guavapath.core.store.StoredObject
+import org.guavapath.core.store.WatchResult
+import org.guavapath.platform.wire.SampleFleet
+import org.guavapath.platform.wire.StoreKinds
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** A fleet that is large enough for hubs, with real links between its gateways. */
+class HubLinksTest {
+    /** A store in memory. */
+    private class MemoryStore(sample: SampleFleet) {
+        private class Entry(val kind: ObjectKind, val change: Change)
+
+        private val log = ArrayList<Entry>()
+
+        init {
+            write(StoreKinds.CONFIGURATIONS, SampleFleet.CONFIGURATION_NAME, sample.configuration)
+            write(StoreKinds.WEIGHTS, SampleFleet.WEIGHTS_NAME, sample.weights)
+        }
+
+        @Synchronized
+        fun write(kind: ObjectKind, name: String, value: JsonElement?): StoredObject? {
+            val revision = Revision(log.size + 1L)
+            val stored = value?.let { StoredObject(name, revision, it) }
+            log.add(Entry(kind, Change(name, revision, stored)))
+            return stored
+        }
+
+        @Synchronized
+        fun list(kind: ObjectKind): Listing {
+            val newest = log.filter { it.kind == kind }.associate { it.change.name to it.change.present }
+            val objects = newest.mapNotNull { (name, stored) -> stored?.let { name to it } }.toMap()
+            return Listing(objects, Revision(log.size.toLong()))
+        }
+
+        @Synchronized
+        fun changes(kind: ObjectKind, after: Revision): WatchResult.Changes {
+            val changes = log.filter { it.kind == kind && it.change.revision > after }.map { it.change }
+            return WatchResult.Changes(changes, Revision(log.size.toLong()))
+        }
+    }
+
+    /** One gateway's access to the store; counts what it reads. */
+    private class CountedStore(private val store: MemoryStore) : ObjectStore {
+        val reads = AtomicInteger()
+
+        override suspend fun list(kind: ObjectKind): Result<Listing, StoreError> {
+            reads.incrementAndGet()
+            return Ok(store.list(kind))
+        }
+
+        override suspend fun watch(
+            kind: ObjectKind,
+            after: Revision,
+            longest: Duration,
+        ): Result<WatchResult, StoreError> {
+            reads.incrementAndGet()
+            val until = TimeSource.Monotonic.markNow() + longest
+            while (store.changes(kind, after).changes.isEmpty() && until.hasNotPassedNow()) delay(POLL)
+            return Ok(store.changes(kind, after))
+        }
+
+        override suspend fun read(kind: ObjectKind, name: String): Result<StoredObject?, StoreError> =
+            Ok(store.list(kind).objects[name])
+
+        override suspend fun create(
+            kind: ObjectKind,
+            name: String,
+            value: JsonElement,
+        ): Result<StoredObject, StoreError> = written(store.write(kind, name, value))
+
+        override suspend fun replace(
+            kind: ObjectKind,
+            name: String,
+            value: JsonElement,
+            condition: Revision,
+        ): Result<StoredObject, StoreError> = written(store.write(kind, name, value))
+
+        override suspend fun remove(kind: ObjectKind, name: String, condition: Revision): Result<Unit, StoreError> {
+            store.write(kind, name, value = null)
+            return Ok(Unit)
+        }
+
+        private fun written(stored: StoredObject?): Result<StoredObject, StoreError> =
+            if (stored == null) Err(StoreError.Unknown("nothing written")) else Ok(stored)
+    }
+
+    private val sample = SampleFleet("127.0.0.1:1")
+    private val shared = MemoryStore(sample)
+    private val seed = SampleSettings(vm = "vm-00", isFirstStart = true)
+    private val settings = listOf(seed) + (1 until VMS).map {
+        SampleSettings(vm = "vm-%02d".format(it), seeds = listOf(seed.peers), isFirstStart = true)
+    }
+    private val stores = settings.map { CountedStore(shared) }
+    private val gateways = settings.zip(stores) { one, store -> Gateway(one.read(), store) }
+
+    /** A gateway is ready while it knows a configuration and a replica. */
+    private fun isReady(one: SampleSettings): Boolean = runCatching {
+        Socket("127.0.0.1", one.readiness).use { socket ->
+            socket.getOutputStream().write("GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n".toByteArray())
+            socket.getInputStream().bufferedReader().readLine().orEmpty().contains(" 200 ")
+        }
+    }.getOrDefault(false)
+
+    private fun await(name: String, isTrue: () -> Boolean) {
+        val until = TimeSource.Monotonic.markNow() + PATIENCE
+        while (!isTrue() && until.hasNotPassedNow()) Thread.sleep(POLL.inWholeMilliseconds)
+        assertTrue(isTrue(), name)
+    }
+
+    @Test
+    fun membersHearOfChangesFromTheirHubsAlone() {
+        gateways.forEach { it.start() }
+        await("all are linked through hubs") { shared.list(Members.KIND).objects.size == VMS }
+        shared.write(StoreKinds.REPLICAS, SampleFleet.REPLICA_NAME, sample.replica)
+        await("all know the replica") { settings.all { isReady(it) } }
+        val before = stores.map { it.reads.get() }
+        shared.write(StoreKinds.REPLICAS, SampleFleet.REPLICA_NAME, value = null)
+        await("all know that it is gone") { settings.none { isReady(it) } }
+        val readers = { stores.indices.filter { stores[it].reads.get() > before[it] } }
+        await("the hubs watch on") { readers().containsAll(HUBS) }
+        assertEquals(HUBS, readers(), "only the hubs read the change")
+    }
+
+    private companion object {
+        const val VMS = 18
+
+        /** The first of the domain by name, as all have the same processors. */
+        val HUBS = listOf(0, 1)
+        val POLL = 20.milliseconds
+        val PATIENCE = 20.seconds
+    }
+}
