--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -35,7 +35,7 @@
             "configuration" to version?.number,
             "workspace" to limit?.workspace?.text,
             "cost" to limit?.cost,
-            "level" to limit?.bucket?.level,
+            "tokensLeft" to limit?.bucket?.level,
             "burst" to limit?.bucket?.burst,
             "ratePerSecond" to limit?.bucket?.ratePerSecond,
             "rateShare" to limit?.bucket?.share,
