--- a/cli/src/main/kotlin/org/guavapath/cli/Main.kt
+++ b/cli/src/main/kotlin/org/guavapath/cli/Main.kt
@@ -47,7 +47,7 @@
         Group("workspace", "Look at workspaces.", listOf(WorkspaceUsageCommand())),
     )
     val parser = ArgParser("guavapath")
-    (groups + Status()).forEach { parser.subcommands(it) }
+    (groups + Status() + Explain()).forEach { parser.subcommands(it) }
     if (arguments.isEmpty()) parser.parse(arrayOf(HELP))
     val group = groups.firstOrNull { it.name == arguments.firstOrNull() }
     if (arguments.size == 1) group?.explain()
--- /dev/null
+++ b/cli/src/test/kotlin/org/guavapath/cli/ExplanationTest.kt
@@ -0,0 +1,64 @@
+package org.guavapath.cli
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class ExplanationTest {
+    private fun line(second: Int, message: String, fields: String, vm: String = "front-1"): LogLine {
+        val time = "2026-11-02T10:00:${"%02d".format(second)}Z"
+        val text = """$second.0 $vm {"@timestamp":"$time","message":"$message",$fields}"""
+        return LogLine.of(text, "file") ?: error("not a line: $text")
+    }
+
+    private val log = listOf(
+        line(1, "weights ordered", """"replica":"i-1","weights":2"""),
+        line(2, "members", """"others":["front-2"]"""),
+        line(2, "members", """"others":["front-1"]""", vm = "front-2"),
+        line(
+            3,
+            "refused",
+            """"requestId":"limit","code":4001,"workspace":"w","tokensLeft":-50,"burst":900,""" +
+                """"ratePerSecond":100,"rateShare":0.25""",
+        ),
+        line(3, "dispatched", """"requestId":"broken","replica":"i-1","costMs":40"""),
+        line(4, "ended", """"requestId":"broken","code":5004,"detail":"the connection was closed","firstEventMs":22"""),
+        line(5, "dispatched", """"requestId":"late","replica":"i-1","costMs":46"""),
+        line(6, "attempt ended", """"requestId":"late","replica":"i-1","afterMs":426,"reason":"refused with 503""""),
+        line(6, "dispatched", """"requestId":"late","replica":"i-2","costMs":108"""),
+        line(7, "ended", """"requestId":"late","code":1000,"result":"served","status":200,"firstEventMs":671"""),
+        line(8, "dispatched", """"requestId":"open","replica":"i-1","costMs":40"""),
+    )
+
+    @Test
+    fun causesAreNamed() {
+        listOf(
+            "limit" to listOf("workspace w", "-50 of 900 tokens left", "used 0.25 of the rate"),
+            "broken" to listOf("broke off after it had begun", "the connection was closed", "1 sends"),
+            "late" to
+                listOf("served (200) after 2 sends", "671.0 ms where 46.0 ms", "i-1 after 426 ms: refused with 503"),
+            "open" to listOf("not ended"),
+        ).forEach { (id, parts) ->
+            val cause = Explanation.of(id, log)?.cause.orEmpty()
+            parts.forEach { assertTrue(it in cause, "$id: '$it' is not in '$cause'") }
+        }
+    }
+
+    @Test
+    fun circumstancesAreThoseOfTheGatewayAndTheReplicas() {
+        val circumstances = Explanation.of("broken", log)?.circumstances.orEmpty()
+        assertEquals(2, circumstances.size, circumstances.toString())
+        assertTrue("front-1 weights ordered replica=i-1" in circumstances[0], circumstances[0])
+        assertTrue("front-1 members" in circumstances[1], circumstances[1])
+    }
+
+    @Test
+    fun whatIsNoLineIsSkipped() {
+        listOf("", "at java.base/java.lang.Thread.run", "{\"no\": \"message\"}", "{broken").forEach {
+            assertNull(LogLine.of(it, "file"), it)
+        }
+        assertEquals("file", LogLine.of("""{"message":"started"}""", "file")?.source)
+        assertNull(Explanation.of("unknown", log))
+    }
+}
