--- a/cli/src/main/kotlin/org/guavapath/cli/Explanation.kt
+++ b/cli/src/main/kotlin/org/guavapath/cli/Explanation.kt
@@ -84,6 +84,9 @@
                 "after $took ms where $expected ms were expected$attempts"
         }
 
-        private fun sends(own: List<LogLine>): String = "${own.count { it.message == "dispatched" }} sends"
+        private fun sends(own: List<LogLine>): String {
+            val count = own.count { it.message == "dispatched" }
+            return if (count == 1) "1 send" else "$count sends"
+        }
     }
 }
--- a/cli/src/test/kotlin/org/guavapath/cli/ExplanationTest.kt
+++ b/cli/src/test/kotlin/org/guavapath/cli/ExplanationTest.kt
@@ -35,7 +35,7 @@
     fun causesAreNamed() {
         listOf(
             "limit" to listOf("workspace w", "-50 of 900 tokens left", "used 0.25 of the rate"),
-            "broken" to listOf("broke off after it had begun", "the connection was closed", "1 sends"),
+            "broken" to listOf("broke off after it had begun", "the connection was closed", "1 send"),
             "late" to
                 listOf("served (200) after 2 sends", "671.0 ms where 46.0 ms", "i-1 after 426 ms: refused with 503"),
             "open" to listOf("not ended"),
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
@@ -43,7 +43,7 @@
 
     /** Takes over what [from] tells of admissions between two statuses. */
     fun usageTold(from: VmId, message: PeerMessage.UsageTold, fleet: FleetState) {
-        if (from !in statuses || routes.isMember && from !in routes.equals) return
+        if (from !in statuses || routes.isMember && from !in routes.equalPeers) return
         fleet.quota.report(
             from,
             usage(from, message.incarnation, message.usage, message.vms),
@@ -64,7 +64,7 @@
 
     /** Passes on news of [from] to those that hear of it through this gateway only. */
     fun passOn(from: VmId, message: PeerMessage) {
-        val audience = if (routes.isMember(from)) routes.equals + routes.members else routes.members
+        val audience = if (routes.isMember(from)) routes.equalPeers + routes.members else routes.members
         (audience - from).forEach { peers.send(it, message) }
     }
 
@@ -79,7 +79,8 @@
         }
     }
 
-    override fun tellAll(message: PeerMessage) = (routes.equals + routes.members).forEach { peers.send(it, message) }
+    override fun tellAll(message: PeerMessage) =
+        (routes.equalPeers + routes.members).forEach { peers.send(it, message) }
 
     /** A gateway that lacks a change which this one has may be cut off from the store without knowing it yet. */
     private fun isFit(vm: VmId): Boolean {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerNews.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerNews.kt
@@ -33,7 +33,7 @@
             val next = statusForEquals()
             quiet = if (next == last) quiet + 1 else 0
             val isDue = quiet % QUIET_INTERVALS == 0
-            if (isDue) routes.equals.forEach { peers.send(it, next) }
+            if (isDue) routes.equalPeers.forEach { peers.send(it, next) }
             if (isDue || routes.members.isNotEmpty()) routes.members.forEach { peers.send(it, statusForMember(it)) }
             last = next
         }
@@ -56,7 +56,7 @@
 
     private fun tellUsage() {
         val usage = fleet.quota.tell()
-        routes.equals.forEach { peers.send(it, PeerMessage.UsageTold(incarnation, routes.vmsOfOwn, usage)) }
+        routes.equalPeers.forEach { peers.send(it, PeerMessage.UsageTold(incarnation, routes.vmsOfOwn, usage)) }
         routes.members.forEach {
             peers.send(it, PeerMessage.UsageTold(incarnation, routes.vmsOfOthers, fleet.quota.tell(it)))
         }
@@ -75,7 +75,7 @@
     fun promptsRead(from: VmId, message: PeerMessage.PromptsRead) = prompts.heard(from, message)
 
     private fun statusForEquals(): PeerMessage.FleetStatus {
-        val others = routes.equals
+        val others = routes.equalPeers
         return status(routes.vmsOfOwn, fleet.quota.tell(), others)
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerRoutes.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerRoutes.kt
@@ -70,7 +70,7 @@
         }
 
     /** Gateways that tell each other of themselves and of their members. */
-    val equals: Set<VmId>
+    val equalPeers: Set<VmId>
         get() = when {
             isMember -> setOfNotNull(upstream)
             addresses.isEmpty() -> peers.linkedPeers
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerHandshake.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerHandshake.kt
@@ -15,7 +15,7 @@
 private const val MAC_ALGORITHM = "HmacSHA256"
 
 /** The two ends of a link; part of what is proved, so that a proof cannot be sent back to its maker. */
-internal enum class LinkRole { DIALLER, ACCEPTOR }
+internal enum class LinkEnd { DIALLER, ACCEPTOR }
 
 /** Opens a link: both sides say who they are and prove that they hold a shared secret. */
 internal class PeerHandshake(
@@ -26,29 +26,29 @@
     private val random = SecureRandom()
 
     /**
-     * Runs the handshake as [role] and returns the other side's greeting.
+     * Runs the handshake as [end] and returns the other side's greeting.
      *
      * @throws PeerProtocolException if the other side speaks another version or proves nothing
      */
-    suspend fun open(input: ByteReadChannel, output: ByteWriteChannel, role: LinkRole): PeerMessage.Hello {
+    suspend fun open(input: ByteReadChannel, output: ByteWriteChannel, end: LinkEnd): PeerMessage.Hello {
         val own = PeerMessage.Hello(PROTOCOL_VERSION, vm, incarnation, newChallenge())
         PeerFrames.write(output, own)
         val other = PeerFrames.read(input) as? PeerMessage.Hello ?: refuse(PeerCode.FrameMalformed, "no greeting")
         if (other.protocolVersion != PROTOCOL_VERSION) {
             refuse(PeerCode.PeerVersion, "version ${other.protocolVersion}, allowed is $PROTOCOL_VERSION")
         }
-        PeerFrames.write(output, PeerMessage.Proof(code(secrets.first(), role, own, other.challenge)))
+        PeerFrames.write(output, PeerMessage.Proof(code(secrets.first(), end, own, other.challenge)))
         val proof = PeerFrames.read(input) as? PeerMessage.Proof ?: refuse(PeerCode.FrameMalformed, "no proof")
-        val otherRole = if (role == LinkRole.DIALLER) LinkRole.ACCEPTOR else LinkRole.DIALLER
-        val proved = secrets.any { same(code(it, otherRole, other, own.challenge), proof.code) }
+        val otherEnd = if (end == LinkEnd.DIALLER) LinkEnd.ACCEPTOR else LinkEnd.DIALLER
+        val proved = secrets.any { same(code(it, otherEnd, other, own.challenge), proof.code) }
         if (!proved) refuse(PeerCode.PeerUnproven, "from VM ${other.vm}")
         return other
     }
 
-    private fun code(secret: String, role: LinkRole, sender: PeerMessage.Hello, challenge: String): String {
+    private fun code(secret: String, end: LinkEnd, sender: PeerMessage.Hello, challenge: String): String {
         val mac = Mac.getInstance(MAC_ALGORITHM)
         mac.init(SecretKeySpec(secret.toByteArray(), MAC_ALGORITHM))
-        val text = listOf(role.name, sender.vm, sender.incarnation, sender.challenge, challenge).joinToString("\n")
+        val text = listOf(end.name, sender.vm, sender.incarnation, sender.challenge, challenge).joinToString("\n")
         return HexFormat.of().formatHex(mac.doFinal(text.toByteArray()))
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerLink.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerLink.kt
@@ -21,7 +21,7 @@
     val peer: VmId,
     private val input: ByteReadChannel,
     private val output: ByteWriteChannel,
-    private val role: LinkRole,
+    private val end: LinkEnd,
 ) {
     private val queue = Channel<PeerMessage>(QUEUE_SIZE)
 
@@ -34,7 +34,7 @@
     suspend fun run(receiver: PeerReceiver) = coroutineScope {
         launch { writeAll() }
         launch { readAll(receiver) }
-        if (role == LinkRole.DIALLER) {
+        if (end == LinkEnd.DIALLER) {
             launch { beat() }
             receiver.linked(peer)
         }
@@ -47,7 +47,7 @@
     private suspend fun readAll(receiver: PeerReceiver) {
         while (true) {
             when (val message = withTimeout(SILENCE_LIMIT) { PeerFrames.read(input) }) {
-                is PeerMessage.Heartbeat -> if (role == LinkRole.ACCEPTOR) send(PeerMessage.Heartbeat)
+                is PeerMessage.Heartbeat -> if (end == LinkEnd.ACCEPTOR) send(PeerMessage.Heartbeat)
                 else -> receiver.received(peer, message)
             }
         }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerTask.kt
@@ -79,7 +79,7 @@
     }
 
     private suspend fun serve(socket: Socket, receiver: PeerReceiver) = socket.use {
-        run(LinkRole.ACCEPTOR, socket, accepted, receiver)
+        run(LinkEnd.ACCEPTOR, socket, accepted, receiver)
     }
 
     private suspend fun dialForever(address: String, receiver: PeerReceiver) {
@@ -88,7 +88,7 @@
         while (true) {
             guarded(address) {
                 withTimeout(SILENCE_LIMIT) { aSocket(selector).tcp().connect(host, port) }
-                    .use { run(LinkRole.DIALLER, it, links, receiver) }
+                    .use { run(LinkEnd.DIALLER, it, links, receiver) }
             }
             delay(REDIAL_PAUSE)
         }
@@ -96,15 +96,15 @@
 
     /** Opens a link on [socket] and keeps it among [present] until it ends. */
     private suspend fun run(
-        role: LinkRole,
+        end: LinkEnd,
         socket: Socket,
         present: ConcurrentHashMap<VmId, PeerLink>,
         receiver: PeerReceiver,
     ) {
         val input = socket.openReadChannel()
         val output = socket.openWriteChannel()
-        val other = withTimeout(SILENCE_LIMIT) { handshake.open(input, output, role) }
-        val link = PeerLink(other.vm, input, output, role)
+        val other = withTimeout(SILENCE_LIMIT) { handshake.open(input, output, end) }
+        val link = PeerLink(other.vm, input, output, end)
         present[other.vm] = link
         try {
             link.run(receiver)
