Gateway logs name the prompt's shared parts and how far each attempt came

The lines could not tell whether crashes follow a request, load or cached state: they named no part of a prompt, did not say whether the head of a response had arrived, and the last attempt of a request had no line.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -64,6 +64,9 @@
     var isCountedAsRun = false
     val startedAt = MonotonicTime.now()
 
+    /** How much of the response has arrived. */
+    val progress = AttemptProgress()
+
     /** Sends the request. */
     fun start(instructions: ReplicaInstructions) {
         choice.path?.let { context.fleet.directory.record(it, record.entry.id, startedAt) }
@@ -91,6 +94,7 @@
 
     override fun head(head: ReplicaResponseHead, headers: HttpHeaders) {
         if (hasEnded) return
+        progress.headReceived(MonotonicTime.now())
         this.head = head
         this.headers = headers.copy()
         val model = admitted.request.prompt?.model
@@ -101,6 +105,7 @@
     override fun body(bytes: ByteArray) {
         val response = head
         if (hasEnded || response == null) return
+        progress.bytesReceived(bytes.size, MonotonicTime.now())
         accounting.prefillEnded()
         timer.restart(STALL_TIMEOUT)
         if (response.isRelayed) onEvent(this, AttemptEvent.BytesReceived(bytes)) else rejection.append(bytes)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -100,7 +100,9 @@
     }
 
     private fun retryOrFail(attempt: Attempt, code: DispatchCode, reason: String, hasArrived: Boolean = true) {
-        if (attempts.mayRetry(hasArrived)) retry(attempt, reason) else completion.fail(Refusal(code, reason), attempts)
+        if (attempts.mayRetry(hasArrived)) return retry(attempt, reason)
+        context.telemetry.log.attemptEnded(admitted, attempt, reason)
+        completion.fail(Refusal(code, reason), attempts)
     }
 
     /** Cancels [attempt] if it is still running and sends the request to another replica. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -55,6 +55,7 @@
             "candidates" to result.candidates,
             "costMs" to chosen.cost.inWholeMilliseconds,
             "promptTokens" to admitted.request.prompt?.promptTokens,
+            "sharedParts" to admitted.request.prompt?.parts?.dropLast(1)?.map { it.id },
             "heldTokens" to chosen.heldTokens,
             "fetchFrom" to chosen.source?.address,
             "fetchTokens" to chosen.source?.tokens,
@@ -64,12 +65,15 @@
         )
     }
 
-    /** Logs an attempt without a response that could be relayed. */
+    /** Logs an attempt without a complete response that could be relayed. */
     fun attemptEnded(admitted: AdmittedRequest, attempt: Attempt, reason: String) = write(
         "attempt ended",
         "requestId" to admitted.request.id.text,
         "replica" to attempt.choice.record.entry.id.text,
         "afterMs" to (MonotonicTime.now() - attempt.startedAt).inWholeMilliseconds,
+        "headMs" to attempt.progress.headAt?.let { (it - attempt.startedAt).inWholeMilliseconds },
+        "firstBytesMs" to attempt.progress.firstBytesAt?.let { (it - attempt.startedAt).inWholeMilliseconds },
+        "bodyBytes" to attempt.progress.bodyBytes,
         "failureShare" to attempt.choice.record.health.recentFailures,
         "reason" to reason,
     )
