Requests whose prompts crash replicas are quarantined by the parts of their prompts

Cause: nothing remembered what a replica was doing when it crashed. Each request with the part, and each repeat of it, went to one more replica. Class of fault: an input that kills its worker is redelivered. Ruled out: load (first crashes at usual load), cached state (crashes with and without fetches).

Change: when a connection closes in that state and the replica refuses a new one, the gateway reports the crash to all others. Parts that were answered before or since are cleared; the remaining ones are quarantined together for 30 s, doubled with each further crash, then tried by one request at a time. Requests that wait with such a prompt end at once. A response whose head has arrived gets 300 ms for its first event, so that it is not given up just before the crash that it causes. The peer protocol's version rises, as older gateways cannot ignore the new message.

PromptCrashTest failed before (32 crashes, five allowed) and passes.

--- a/core/src/main/kotlin/org/guavapath/core/results/DispatchCode.kt
+++ b/core/src/main/kotlin/org/guavapath/core/results/DispatchCode.kt
@@ -115,4 +115,13 @@
         outcome = RunOutcome.NOT_RUN,
         sentence = "The endpoints refused the request; it was not run.",
     )
+
+    /** Replicas crash on prompts with a part of this one. */
+    public data object PromptQuarantined : DispatchCode(
+        number = 5013,
+        label = "prompt-quarantined",
+        status = HttpStatus.UNAVAILABLE,
+        outcome = RunOutcome.NOT_RUN,
+        sentence = "Endpoints failed on requests with a part of this prompt; it was not run.",
+    )
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -99,7 +99,9 @@
         this.headers = headers.copy()
         val model = admitted.request.prompt?.model
         if (model != null) head.weights?.let { record.recordWeights(model, it) }
-        if (head.isRelayed) onEvent(this, AttemptEvent.HeadReceived(responseHead(head, this.headers)))
+        if (!head.isRelayed) return
+        timer.extend(FIRST_BODY_TIMEOUT)
+        onEvent(this, AttemptEvent.HeadReceived(responseHead(head, this.headers)))
     }
 
     override fun body(bytes: ByteArray) {
@@ -149,6 +151,9 @@
         val FIRST_BYTE_MARGIN = 300.milliseconds
         val MAX_FIRST_BYTE_TIMEOUT = 2.seconds
 
+        /** A replica that has sent the head has read the prompt, so that another one would respond later. */
+        val FIRST_BODY_TIMEOUT = 300.milliseconds
+
         /** Twice the longest pause within a response that still counts as on time. */
         val STALL_TIMEOUT = 800.milliseconds
         val RETRYABLE_MAX_IDLE = 10.seconds
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -27,7 +27,11 @@
     fun start() {
         val remaining = maxOf(1, (admitted.dueAt - MonotonicTime.now()).inWholeMilliseconds)
         val timer = context.loop.schedule({ onTimeout() }, remaining, TimeUnit.MILLISECONDS)
-        completion.onEnd = { timer.cancel(false) }
+        completion.onEnd = {
+            timer.cancel(false)
+            context.running.remove(this)
+        }
+        context.running.add(this)
         context.recordFirstSend(admitted.service)
         attempts.sendNext()?.let { completion.fail(it, attempts) }
     }
@@ -42,6 +46,19 @@
         attempts.current?.setReading(true)
     }
 
+    /** Ends the request if its prompt has been quarantined since it was sent and no event has arrived. */
+    fun endIfQuarantined() {
+        val prompt = admitted.request.prompt
+        val isWaiting = !completion.hasEnded && !relay.hasBegun && !attempts.isTrial
+        if (prompt == null || !isWaiting || !context.quarantine.isQuarantined(prompt)) return
+        attempts.current?.let {
+            attempts.countPossibleRun(it)
+            it.cancel()
+            context.telemetry.log.attemptEnded(admitted, it, "its prompt is quarantined")
+        }
+        completion.fail(Refusal(DispatchCode.PromptQuarantined), attempts)
+    }
+
     private fun onAttemptEvent(attempt: Attempt, event: AttemptEvent) {
         if (completion.hasEnded) return
         when (event) {
@@ -55,11 +72,17 @@
                 attempts.countPossibleRun(attempt)
                 relay.offerHead(event.head)
             }
-            is AttemptEvent.BytesReceived -> relayBytes(attempt, event.bytes)
+            is AttemptEvent.BytesReceived -> when {
+                !relay.write(event.bytes) ->
+                    retryOrFail(attempt, DispatchCode.OutcomeUnknown, "the events are out of order")
+                !sink.isWritable -> attempt.setReading(false)
+            }
             is AttemptEvent.Complete -> complete(attempt, event)
             is AttemptEvent.Failed -> {
                 attempts.countPossibleRun(attempt)
-                retryOrFail(attempt, DispatchCode.OutcomeUnknown, event.reason)
+                context.quarantine.examine(attempt, admitted) {
+                    if (!completion.hasEnded) retryOrFail(attempt, DispatchCode.OutcomeUnknown, event.reason)
+                }
             }
             AttemptEvent.TimedOut -> {
                 attempts.countPossibleRun(attempt)
@@ -68,19 +91,14 @@
         }
     }
 
-    private fun relayBytes(attempt: Attempt, bytes: ByteArray) {
-        if (!relay.write(bytes)) {
-            retryOrFail(attempt, DispatchCode.OutcomeUnknown, "the events are out of order")
-        } else if (!sink.isWritable) {
-            attempt.setReading(false)
-        }
-    }
-
     private fun complete(attempt: Attempt, event: AttemptEvent.Complete) {
         attempts.countPossibleRun(attempt)
         when {
             !event.head.isSuccess -> handleFailure(attempt, event)
-            relay.end() -> completion.succeed(event.head.status, attempts.sends)
+            relay.end() -> {
+                admitted.request.prompt?.let { context.quarantine.answered(it) }
+                completion.succeed(event.head.status, attempts.sends)
+            }
             else -> retryOrFail(attempt, DispatchCode.OutcomeUnknown, "the stream ended within an event")
         }
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -7,6 +7,7 @@
 import org.guavapath.core.placement.PlacementRequest
 import org.guavapath.core.placement.PlacementResult
 import org.guavapath.core.placement.ScoredReplica
+import org.guavapath.core.quarantine.QuarantineVerdict
 import org.guavapath.core.results.DispatchCode
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.pipeline.Refusal
@@ -30,8 +31,27 @@
     val sends: Int get() = history.sends
     val isKnownNotRun: Boolean get() = history.isKnownNotRun
 
+    /** Whether the request shows whether a part of its prompt, quarantined until now, still crashes replicas. */
+    var isTrial = false
+        private set
+
     /** Sends the request to the best replica not yet tried; returns a refusal, or null if it was sent. */
-    fun sendNext(): Refusal? {
+    fun sendNext(): Refusal? = quarantineRefusal() ?: sendToBest()
+
+    private fun quarantineRefusal(): Refusal? {
+        val prompt = admitted.request.prompt ?: return null
+        return when (val verdict = context.quarantine.admit(prompt)) {
+            QuarantineVerdict.Allowed -> null
+            QuarantineVerdict.Trial -> {
+                isTrial = true
+                null
+            }
+            is QuarantineVerdict.Quarantined ->
+                Refusal(DispatchCode.PromptQuarantined, retryAfter = verdict.timeLeft)
+        }
+    }
+
+    private fun sendToBest(): Refusal? {
         val owner = admitted.workspace?.takeIf { it.isIsolated }?.name
         val placementRequest = PlacementRequest(
             admitted.service.name,
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -38,6 +38,9 @@
     /** Number of gateways in the fleet, this one included. */
     val fleetSize: Int
 
+    /** Keeps prompts that crash replicas away from them. */
+    val quarantine: QuarantineTask
+
     /** Called when a request is sent to a replica. */
     fun requestSent()
 }
@@ -53,6 +56,11 @@
 ) {
     private val budgets = HashMap<ServiceName, RetryBudget>()
 
+    /** The exchanges that have not ended. */
+    val running = LinkedHashSet<Exchange>()
+
+    val quarantine: QuarantineTask get() = host.quarantine
+
     /** Counts the first send of a request to [service]. */
     fun recordFirstSend(service: FleetService) = budget(service).recordFirstSend(MonotonicTime.now())
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
@@ -4,6 +4,7 @@
 import org.guavapath.core.placement.Placement
 import org.guavapath.core.placement.PromptDirectory
 import org.guavapath.core.placement.ReplicaRegistry
+import org.guavapath.core.quarantine.PromptQuarantine
 import org.guavapath.core.quota.FleetQuota
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.core.weights.TargetWeights
@@ -13,6 +14,7 @@
     val replicas = ReplicaRegistry()
     val directory = PromptDirectory()
     val weights = TargetWeights()
+    val quarantine = PromptQuarantine()
     val quota = FleetQuota(startedAt, isFirstStart)
     val placement = Placement(domain, replicas, directory, weights)
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -61,14 +61,13 @@
     private val publisher = PeerPublisher(incarnation, fleet, viewExchange, peers, topology, exchange)
     private val loader = WeightsLoader(settings.vm.text, lease, ReplicaControlClient(pool), log)
     private val rollout = RolloutTask(fleet, lease, loader, exchange)
-    private val admission = AdmissionHandler(
-        ExchangeContext(loop, pool, fleet, telemetry, settings, this),
-        operator,
-    )
+    private val exchanges = ExchangeContext(loop, pool, fleet, telemetry, settings, this)
+    private val admission = AdmissionHandler(exchanges, operator)
 
     private var callerListener: Channel? = null
 
     override val fleetSize: Int get() = members.fleetSize
+    override val quarantine = QuarantineTask(fleet, pool, log)
 
     override fun requestSent() = publisher.scheduleUpdates()
 
@@ -80,7 +79,7 @@
             "incarnation" to incarnation.number,
             "settings" to settings.copy(peerSecrets = emptyList()).toString()
         )
-        telemetry.metrics.registerGauges(pool, operator, fleet.quota)
+        telemetry.metrics.registerGauges(pool, operator, fleet)
         viewExchange.refresh()
         views.forEach { scope.launch { it.follow() } }
         scope.launch { peers.start(scope, this@Gateway) }
@@ -92,6 +91,8 @@
         scope.launch { publisher.publishPromptsForever() }
         scope.launch { publisher.publishUsageForever() }
         scope.launch { rollout.run(scope) }
+        quarantine.onQuarantined = { exchanges.running.toList().forEach { it.endIfQuarantined() } }
+        scope.launch { quarantine.run(scope, exchange::broadcast) }
         callerListener = CallerHttpServer(group, admission).start(SocketAddress.of(settings.callers))
         ReadinessServer(group, ::isReady, telemetry.metrics::text).start(SocketAddress.of(settings.readiness))
     }
@@ -124,8 +125,11 @@
             is PeerMessage.ViewWanted -> viewExchange.share(from, message)
             is PeerMessage.ViewContent -> viewExchange.adopt(from, message)
             is PeerMessage.ViewChanged -> viewExchange.adopt(from, message)
-            is PeerMessage.ReplicaLoading -> rollout.loading(message).also { exchange.relay(from, message) }
-            is PeerMessage.ReplicaLoaded -> rollout.loaded(message).also { exchange.relay(from, message) }
+            is PeerMessage.PromptCrashes -> quarantine.received(message)
+            is PeerMessage.OfRollout -> {
+                rollout.received(message)
+                exchange.relay(from, message)
+            }
             else -> Unit
         }
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
@@ -5,7 +5,6 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
-import org.guavapath.core.quota.FleetQuota
 import org.guavapath.core.results.ResultCode
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.logging.LogDropCounter
@@ -35,11 +34,13 @@
     }
 
     /** Registers gauges that read the gateway's state at each scrape. */
-    fun registerGauges(pool: ReplicaPool, operator: OperatorState, quota: FleetQuota) {
+    fun registerGauges(pool: ReplicaPool, operator: OperatorState, fleet: FleetState) {
         gauge("guavapath.gateway.replica.connections.opened") { pool.opened }
         gauge("guavapath.gateway.configuration.version") { operator.configuration?.version?.number ?: 0 }
         gauge("guavapath.gateway.log.dropped") { LogDropCounter.total }
-        gauge("guavapath.gateway.reachable.share") { quota.reachableShare(MonotonicTime.now()) }
+        gauge("guavapath.gateway.reachable.share") { fleet.quota.reachableShare(MonotonicTime.now()) }
+        gauge("guavapath.gateway.prompt.crash.reports") { fleet.quarantine.reports.size }
+        gauge("guavapath.gateway.quarantined.prompts") { fleet.quarantine.quarantined.size }
     }
 
     private fun gauge(name: String, read: () -> Number) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/InactivityTimer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/InactivityTimer.kt
@@ -15,6 +15,12 @@
         pending = loop.schedule(onTimeout, timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
+    /** Ensures that at least [timeout] is left; has no effect on a timer that is not running. */
+    fun extend(timeout: Duration) {
+        val remaining = pending?.getDelay(TimeUnit.MILLISECONDS) ?: return
+        if (remaining < timeout.inWholeMilliseconds) restart(timeout)
+    }
+
     /** Cancels the pending timeout. */
     fun stop() {
         pending?.cancel(false)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
@@ -1,8 +1,10 @@
 package org.guavapath.daemon.gateway
 
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -12,6 +14,7 @@
 import org.guavapath.core.fleet.ReplicaId
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.platform.wire.ReplicaResponseHead
+import java.net.ConnectException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -73,6 +76,23 @@
         return call
     }
 
+    /**
+     * Opens a connection to [replica] and closes it again; passes to [onResult] whether it was refused. A replica whose
+     * connections only time out may be alive.
+     */
+    fun isRefusingConnections(replica: Replica, onResult: (Boolean) -> Unit) {
+        val address = SocketAddress.of(replica.address)
+        opened += 1
+        bootstrap(ReplicaConnection { connection, _ -> connection.close() })
+            .connect(address.host, address.port)
+            .addListener(
+                ChannelFutureListener { future ->
+                    future.channel().close()
+                    onResult(future.cause().let { it is ConnectException && it !is ConnectTimeoutException })
+                },
+            )
+    }
+
     /** Closes the idle connections to the removed [replica]; those in use close after their response. */
     fun drop(replica: ReplicaId) {
         val idle = connections.remove(replica)?.idle?.toList().orEmpty()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
@@ -38,14 +38,20 @@
         }
     }
 
+    /** Applies a message of the gateway that holds the lease. */
+    fun received(message: PeerMessage.OfRollout) = when (message) {
+        is PeerMessage.ReplicaLoading -> loading(message)
+        is PeerMessage.ReplicaLoaded -> loaded(message)
+    }
+
     /** Records that a replica is loading weights, ordered by this gateway or another. */
-    fun loading(message: PeerMessage.ReplicaLoading) {
+    private fun loading(message: PeerMessage.ReplicaLoading) {
         val record = fleet.replicas[ReplicaId(message.replica)] ?: return
         record.loadingUntil = MonotonicTime.now() + message.milliseconds.milliseconds
     }
 
     /** Records that a replica has new weights and an empty cache. */
-    fun loaded(message: PeerMessage.ReplicaLoaded) {
+    private fun loaded(message: PeerMessage.ReplicaLoaded) {
         val record = fleet.replicas[ReplicaId(message.replica)] ?: return
         record.loadingUntil = MonotonicTime.ZERO
         record.recordWeights(ModelName(message.model), WeightsNumber(message.number))
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -6,14 +6,16 @@
 import org.guavapath.core.config.AcceptedChange
 import org.guavapath.core.config.ConfigurationVersion
 import org.guavapath.core.identity.Incarnation
+import org.guavapath.core.identity.RequestId
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.limits.LimitMessage
 import org.guavapath.core.limits.SlotTable
 import org.guavapath.core.platform.ObjectVersion
+import org.guavapath.core.quarantine.CrashStage
 
 /** Version of the protocol between daemons; both ends must have the same. */
-internal const val PROTOCOL_VERSION = 1
+internal const val PROTOCOL_VERSION = 2
 
 /** A message between two daemons. */
 @Serializable
@@ -128,13 +130,40 @@
     @Serializable
     data class PromptsRead(val steps: Map<String, List<Long>>) : OfFleet()
 
+    /** All that the sender knows of crashes that prompts may have caused. */
+    @Serializable
+    data class PromptCrashes(val reports: List<SharedCrash>) : OfFleet()
+
+    /**
+     * One crash report; parts of prompts are hashes.
+     *
+     * @property startedAt start of the incarnation that crashed, in Unix milliseconds
+     * @property ageMilliseconds time since the crash
+     */
+    @Serializable
+    data class SharedCrash(
+        val replica: String,
+        val startedAt: Long,
+        val request: RequestId,
+        val ageMilliseconds: Long,
+        val stage: CrashStage,
+        val parts: List<Long>,
+        val answeredBefore: List<Long>,
+        val answeredSince: List<Long>,
+        val trials: Int,
+    )
+
+    /** A message about replicas that change their weights. */
+    @Serializable
+    sealed class OfRollout : OfFleet()
+
     /** The replica loads weights for up to [milliseconds] and should receive no requests meanwhile. */
     @Serializable
-    data class ReplicaLoading(val replica: String, val milliseconds: Long) : OfFleet()
+    data class ReplicaLoading(val replica: String, val milliseconds: Long) : OfRollout()
 
     /** The replica has weights [number] of [model] now. */
     @Serializable
-    data class ReplicaLoaded(val replica: String, val model: String, val number: Long) : OfFleet()
+    data class ReplicaLoaded(val replica: String, val model: String, val number: Long) : OfRollout()
 }
 
 /** Sends messages to other daemons; a message to a daemon that cannot be reached is dropped. */
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/FragileReplica.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/FragileReplica.kt
@@ -13,8 +13,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * A replica of the sample fleet that crashes when it begins to answer a prompt with a part in [deadlyParts]: the head of
- * the response leaves, then all its connections close. It is back after [DOWNTIME] as a new incarnation.
+ * A replica of the sample fleet that crashes when it begins to answer a prompt with a part in [deadlyParts]: it sends
+ * the head of the response, then all its connections close. It is back after [DOWNTIME] as a new incarnation.
  */
 internal class FragileReplica(
     private val name: String,
