A stream without a length that ends before its first event is broken off

Callers saw: a complete response without any event, where the replica had crashed after the head of a response without a length. Cause: the end of the connection is the end of such a response, and nothing asked whether it had an event. It also cleared the crashing part of the prompt as answered, so that it was never quarantined. Evidence: PromptCrashTest, case "responses without a length", failed with 25 crashes where five are allowed, and passes. New cases beside it (a part before others, two at once, ordinary crashes) passed before as well.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpHeaders
+import org.guavapath.core.fleet.RetryPolicy
 import org.guavapath.core.placement.ReplicaOutcome
 import org.guavapath.core.placement.ScoredReplica
 import org.guavapath.core.time.MonotonicTime
@@ -115,6 +116,11 @@
 
     override fun complete() {
         val response = checkNotNull(head)
+        val isStream = admitted.route.retryPolicy is RetryPolicy.Stream && response.isRelayed
+        if (isStream && progress.bodyBytes == 0L && !isFramed(headers)) {
+            // A stream that breaks off before its first event would otherwise pass for a complete one.
+            return failed("the connection was closed before the first event")
+        }
         val event = when {
             response.isNotRun -> AttemptEvent.NotRun(response)
             response.isSuccess && !response.isSigned -> AttemptEvent.Failed("a success without a signature")
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -6,6 +6,8 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -105,7 +107,8 @@
         }
         val decoded = ResponseCodec.decode(response.status().code()) { response.headers().get(it) }
         val isForAnotherRequest = expectedId != null && decoded.request != expectedId
-        isReusable = isReusable && HttpUtil.isKeepAlive(response) && !isForAnotherRequest && isFramed(response)
+        isReusable = isReusable && HttpUtil.isKeepAlive(response) && !isForAnotherRequest &&
+            isFramed(response.headers())
         isSkipping = isForAnotherRequest
         if (isForAnotherRequest) return
         head = decoded
@@ -148,6 +151,7 @@
     }
 }
 
-/** Whether the response marks its own end; otherwise it ends when the connection closes. */
-private fun isFramed(response: HttpResponse) =
-    HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+/** Whether [headers] tell where the response ends; otherwise it ends when the connection closes. */
+internal fun isFramed(headers: HttpHeaders): Boolean =
+    headers.contains(HttpHeaderNames.CONTENT_LENGTH) ||
+        headers.containsValue(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true)
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/FragileReplica.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/FragileReplica.kt
@@ -15,10 +15,13 @@
 /**
  * A replica of the sample fleet that crashes when it begins to answer a prompt with a part in [deadlyParts]: it sends
  * the head of the response, then all its connections close. It is back after [DOWNTIME] as a new incarnation.
+ *
+ * @property isFramed whether responses are chunked; others end with their connection
  */
 internal class FragileReplica(
     private val name: String,
     private val deadlyParts: Set<String>,
+    private val isFramed: Boolean,
     private val onListed: (String, address: String, startedAt: Long) -> Unit,
 ) : AutoCloseable {
     private val connections = ConcurrentHashMap.newKeySet<Socket>()
@@ -46,23 +49,36 @@
     private fun serve(socket: Socket) {
         val started = incarnation.get()
         val input = socket.getInputStream().bufferedReader()
-        while (true) {
+        do {
             val head = readHead(input)
-            val id = SampleFleet.attemptIdIn(head) ?: return
+            val id = SampleFleet.attemptIdIn(head) ?: break
             repeat(BODY_LENGTH) { input.read() }
-            Thread.sleep(PREFILL_TIME.inWholeMilliseconds)
-            socket.getOutputStream().write(SampleFleet.responseHead(id).toByteArray())
-            if (SampleFleet.partsIn(head).any { it in deadlyParts }) {
-                Thread.sleep(TIME_TO_CRASH.inWholeMilliseconds)
-                return crash(started)
-            }
-            for (event in 1..EVENTS) {
-                Thread.sleep(EVENT_INTERVAL.inWholeMilliseconds)
-                val text = "id: $event\ndata: a\n\n"
-                socket.getOutputStream().write("${text.length.toString(HEXADECIMAL)}\r\n$text\r\n".toByteArray())
-            }
-            socket.getOutputStream().write("0\r\n\r\n".toByteArray())
+            val isDeadly = SampleFleet.partsIn(head).any { it in deadlyParts }
+            if (isDeadly) dieAnswering(id, socket, started) else answer(id, socket)
+        } while (isFramed && !isDeadly)
+    }
+
+    private fun dieAnswering(id: String, socket: Socket, started: Int) {
+        sendHead(id, socket)
+        Thread.sleep(TIME_TO_CRASH.inWholeMilliseconds)
+        crash(started)
+    }
+
+    private fun answer(id: String, socket: Socket) {
+        sendHead(id, socket)
+        val output = socket.getOutputStream()
+        for (event in 1..EVENTS) {
+            Thread.sleep(EVENT_INTERVAL.inWholeMilliseconds)
+            val text = "id: $event\ndata: a\n\n"
+            val chunk = if (isFramed) "${text.length.toString(HEXADECIMAL)}\r\n$text\r\n" else text
+            output.write(chunk.toByteArray())
         }
+        if (isFramed) output.write("0\r\n\r\n".toByteArray())
+    }
+
+    private fun sendHead(id: String, socket: Socket) {
+        Thread.sleep(PREFILL_TIME.inWholeMilliseconds)
+        socket.getOutputStream().write(SampleFleet.responseHead(id, isFramed).toByteArray())
     }
 
     private fun readHead(input: BufferedReader): List<String> =
