Gateways that start learn of crashing prompts from the store and from the first peer

Callers saw: after most gateways had been killed and restarted, three more replicas crashed on the part of a prompt that the fleet had quarantined. Cause: reports reached a restarted gateway with the next repetition only, up to a second after it was ready, and none if no other gateway had survived. Change: gateways exchange reports as a link opens, each sending what the other lacks. The gateway that reports a crash also writes the reports to the store, and a gateway reads them when it starts, unless the fleet is new.

--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
@@ -14,6 +14,12 @@
 
     operator fun contains(report: CrashReport): Boolean = report.id in byId
 
+    /** Returns whether [others] lack a report, or a part of one, that is known here. */
+    fun hasMoreThan(others: Collection<CrashReport>): Boolean {
+        val othersById = others.associateBy { it.id }
+        return byId.values.any { report -> othersById[report.id].let { it == null || it.merge(report) != it } }
+    }
+
     /** Records that a prompt with [parts] was answered completely; returns whether a report has changed. */
     fun answered(parts: Set<PartKey>, now: MonotonicTime): Boolean {
         answered.record(parts, now)
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashReport.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashReport.kt
@@ -69,14 +69,15 @@
     public val answeredSince: Set<PartKey> = emptySet(),
     public val trials: Int = 0,
 ) {
-    internal val id: Triple<ReplicaId, Long, RequestId> get() = Triple(replica, startedAt, request)
+    /** Identity of the report; reports with the same one are merged. */
+    public val id: Triple<ReplicaId, Long, RequestId> get() = Triple(replica, startedAt, request)
     internal val incarnation: Pair<ReplicaId, Long> get() = replica to startedAt
 
     /** Parts that may be the cause. */
     internal val suspects: Set<PartKey> get() = parts - answeredSince
 
-    /** Whether the report may still matter at [now]. */
-    internal fun isLive(now: MonotonicTime): Boolean =
+    /** Returns whether the report may still matter at [now]. */
+    public fun isLive(now: MonotonicTime): Boolean =
         now - at <= if (suspects.isEmpty()) SETTLED_RETENTION else stage.retention
 
     internal fun merge(other: CrashReport): CrashReport = copy(
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -80,7 +80,7 @@
             is AttemptEvent.Complete -> complete(attempt, event)
             is AttemptEvent.Failed -> {
                 attempts.countPossibleRun(attempt)
-                context.quarantine.examine(attempt, admitted) {
+                context.crashes.examine(attempt, admitted) {
                     if (!completion.hasEnded) retryOrFail(attempt, DispatchCode.OutcomeUnknown, event.reason)
                 }
             }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -60,6 +60,7 @@
     val running = LinkedHashSet<Exchange>()
 
     val quarantine: QuarantineTask get() = host.quarantine
+    val crashes = CrashExaminer(pool, host.quarantine, telemetry.log)
 
     /** Counts the first send of a request to [service]. */
     fun recordFirstSend(service: FleetService) = budget(service).recordFirstSend(MonotonicTime.now())
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -58,6 +58,8 @@
     private val viewExchange = ViewExchange(views, peers, topology)
     private val lease = RolloutLease(settings.vm, incarnation, store, log)
     private val exchange = PeerExchange(settings.vm, viewExchange, peers, topology, liveness, lease)
+    private val storedCrashes = StoredCrashReports(store, settings.isFirstStart, log)
+    override val quarantine = QuarantineTask(fleet, exchange, storedCrashes, log)
     private val publisher = PeerPublisher(incarnation, fleet, viewExchange, peers, topology, exchange)
     private val loader = WeightsLoader(settings.vm.text, lease, ReplicaControlClient(pool), log)
     private val rollout = RolloutTask(fleet, lease, loader, exchange)
@@ -67,7 +69,6 @@
     private var callerListener: Channel? = null
 
     override val fleetSize: Int get() = members.fleetSize
-    override val quarantine = QuarantineTask(fleet, pool, log)
 
     override fun requestSent() = publisher.scheduleUpdates()
 
@@ -92,7 +93,7 @@
         scope.launch { publisher.publishUsageForever() }
         scope.launch { rollout.run(scope) }
         quarantine.onQuarantined = { exchanges.running.toList().forEach { it.endIfQuarantined() } }
-        scope.launch { quarantine.run(scope, exchange::broadcast) }
+        scope.launch { quarantine.run(scope) }
         callerListener = CallerHttpServer(group, admission).start(SocketAddress.of(settings.callers))
         ReadinessServer(group, ::isReady, telemetry.metrics::text).start(SocketAddress.of(settings.readiness))
     }
@@ -125,7 +126,7 @@
             is PeerMessage.ViewWanted -> viewExchange.share(from, message)
             is PeerMessage.ViewContent -> viewExchange.adopt(from, message)
             is PeerMessage.ViewChanged -> viewExchange.adopt(from, message)
-            is PeerMessage.PromptCrashes -> quarantine.received(message)
+            is PeerMessage.PromptCrashes -> quarantine.received(from, message)
             is PeerMessage.OfRollout -> {
                 rollout.received(message)
                 exchange.relay(from, message)
@@ -134,7 +135,10 @@
         }
     }
 
-    override suspend fun linked(peer: VmId) = log.stateChange("peer linked", "peer" to peer.text)
+    override suspend fun linked(peer: VmId) {
+        log.stateChange("peer linked", "peer" to peer.text)
+        quarantine.linked(peer)
+    }
 
     /**
      * Waits until the platform has stopped routing callers here, which takes two failed readiness checks. Then closes
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
@@ -21,7 +21,8 @@
     private val topology: PeerTopology,
     private val liveness: PeerLiveness,
     private val lease: RolloutLease,
-) : RolloutPeers {
+) : RolloutPeers,
+    QuarantinePeers {
     /** The holder of the rollout lease as far as this gateway knows. */
     val rolloutHolder: PeerMessage.RolloutHolder? get() = lease.knownHolder
 
@@ -86,6 +87,8 @@
     override fun broadcast(message: PeerMessage) =
         (topology.equalPeers + topology.members).forEach { peers.send(it, message) }
 
+    override fun send(to: VmId, message: PeerMessage) = peers.send(to, message)
+
     /** Whether [vm] may hold the lease. One without a change that this one has may have lost the store unnoticed. */
     private fun isEligible(vm: VmId): Boolean {
         val status = statuses[vm]
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -5,10 +5,9 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.guavapath.core.fleet.PromptShape
-import org.guavapath.core.fleet.ReplicaId
+import org.guavapath.core.identity.VmId
 import org.guavapath.core.placement.ReplicaOutcome
 import org.guavapath.core.quarantine.CrashReport
-import org.guavapath.core.quarantine.CrashStage
 import org.guavapath.core.quarantine.PartKey
 import org.guavapath.core.quarantine.QuarantineVerdict
 import org.guavapath.core.time.MonotonicTime
@@ -16,14 +15,23 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** Access to the other gateways for a [QuarantineTask]. */
+internal interface QuarantinePeers {
+    fun broadcast(message: PeerMessage)
+
+    fun send(to: VmId, message: PeerMessage)
+}
+
 /**
  * Reports crashes that prompts may have caused and keeps the other gateways informed of them.
  *
- * Reports are repeated while they matter, so that gateways that restart or were cut off receive them too.
+ * Reports are repeated while they matter, so that gateways that were cut off receive them too. A gateway that starts
+ * takes them from the store and from each gateway that it links with.
  */
 internal class QuarantineTask(
     private val fleet: FleetState,
-    private val pool: ReplicaPool,
+    private val peers: QuarantinePeers,
+    private val stored: StoredCrashReports,
     private val log: GatewayLog,
 ) {
     private val quarantine get() = fleet.quarantine
@@ -33,8 +41,9 @@
     /** Called when further parts are quarantined. */
     var onQuarantined: () -> Unit = {}
 
-    /** Publishes the reports with [broadcast] when they have changed, and periodically. */
-    suspend fun run(scope: CoroutineScope, broadcast: (PeerMessage) -> Unit) {
+    /** Reads the stored reports, and publishes reports when they have changed, and periodically. */
+    suspend fun run(scope: CoroutineScope) {
+        scope.launch { stored.keepSaved { quarantine.reports } }
         scope.launch {
             while (true) {
                 delay(REPEAT_INTERVAL)
@@ -42,9 +51,10 @@
                 changed()
             }
         }
+        scope.launch { stored.load()?.let { add(it) } }
         while (true) {
             updates.receive()
-            if (quarantine.reports.isNotEmpty()) broadcast(message())
+            if (quarantine.reports.isNotEmpty()) peers.broadcast(message())
             delay(MIN_INTERVAL)
         }
     }
@@ -72,54 +82,32 @@
         if (quarantine.answered(PartKey.sharedPartsOf(prompt), MonotonicTime.now())) changed()
     }
 
-    /**
-     * Finds out whether the replica of [attempt], whose connection has closed, has crashed on [admitted]'s prompt, and
-     * then calls [then].
-     */
-    fun examine(attempt: Attempt, admitted: AdmittedRequest, then: () -> Unit) {
-        val now = MonotonicTime.now()
-        val progress = attempt.progress
-        val prompt = admitted.request.prompt
-        val stage = CrashStage.of(progress.headAt?.let { now - it }, hasBody = progress.firstBytesAt != null)
-        if (prompt == null || stage == null) return then()
-        val replica = attempt.choice.record.entry
-        pool.isRefusingConnections(replica) { isGone ->
-            if (isGone) {
-                val parts = PartKey.sharedPartsOf(prompt)
-                val report = CrashReport(replica.id, replica.startedAt, admitted.request.id, now, stage, parts)
-                log.stateChange(
-                    "replica crashed",
-                    "replica" to replica.id.text,
-                    "causeId" to admitted.request.id.text,
-                    "stage" to stage.name,
-                    "sharedParts" to prompt.parts.dropLast(1).map { it.id },
-                    "partKeys" to parts.map(PartKey::toString),
-                )
-                add(listOf(report))
-            }
-            then()
-        }
+    /** Adds a report of this gateway. */
+    fun report(report: CrashReport) {
+        add(listOf(report))
+        stored.save()
     }
 
-    /** Applies the reports of another gateway. */
-    fun received(message: PeerMessage.PromptCrashes) {
+    /** Sends what is known here to [peer], which then answers with what it knows beyond that. */
+    fun linked(peer: VmId) = peers.send(peer, message())
+
+    /** Applies the reports of [from], and sends it those that it lacks. */
+    fun received(from: VmId, message: PeerMessage.PromptCrashes) {
         val now = MonotonicTime.now()
-        add(message.reports.map { it.decode(now) })
+        val reports = message.reports.map { CrashReportCodec.decode(it, now) }
+        add(reports)
+        if (quarantine.hasMoreThan(reports)) peers.send(from, message())
     }
 
     private fun add(reports: List<CrashReport>) {
         val unknown = reports.filter { it !in quarantine }
         if (!quarantine.add(reports, MonotonicTime.now())) return
-        unknown.forEach { avoid(it) }
+        // A crashed replica stays listed for a few seconds.
+        unknown.mapNotNull { crash -> fleet.replicas[crash.replica]?.takeIf { it.entry.startedAt == crash.startedAt } }
+            .forEach { it.health.observe(ReplicaOutcome.UNRESPONSIVE, MonotonicTime.now()) }
         changed()
     }
 
-    /** Avoids the crashed replica, which stays listed for a few seconds. */
-    private fun avoid(report: CrashReport) {
-        val record = fleet.replicas[report.replica]?.takeIf { it.entry.startedAt == report.startedAt } ?: return
-        record.health.observe(ReplicaOutcome.UNRESPONSIVE, MonotonicTime.now())
-    }
-
     private fun changed() {
         val current = quarantine.quarantined
         val added = current - logged
@@ -132,7 +120,7 @@
 
     private fun message(): PeerMessage.PromptCrashes {
         val now = MonotonicTime.now()
-        return PeerMessage.PromptCrashes(quarantine.reports.map { it.encode(now) })
+        return PeerMessage.PromptCrashes(quarantine.reports.map { CrashReportCodec.encode(it, now) })
     }
 
     private companion object {
@@ -140,29 +128,3 @@
         val REPEAT_INTERVAL = 1.seconds
     }
 }
-
-private fun CrashReport.encode(now: MonotonicTime) = PeerMessage.SharedCrash(
-    replica.text,
-    startedAt,
-    request,
-    (now - at).inWholeMilliseconds,
-    stage,
-    parts.map { it.bits },
-    answeredBefore.map { it.bits },
-    answeredSince.map { it.bits },
-    trials,
-)
-
-private fun PeerMessage.SharedCrash.decode(now: MonotonicTime) = CrashReport(
-    ReplicaId(replica),
-    startedAt,
-    request,
-    now + (-ageMilliseconds).milliseconds,
-    stage,
-    parts.keys(),
-    answeredBefore.keys(),
-    answeredSince.keys(),
-    trials,
-)
-
-private fun List<Long>.keys() = map { PartKey(it) }.toSet()
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoredCrashReports.kt
@@ -0,0 +1,101 @@
+package org.guavapath.daemon.gateway
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.guavapath.core.quarantine.CrashReport
+import org.guavapath.core.store.ObjectKind
+import org.guavapath.core.store.ObjectStore
+import org.guavapath.core.store.StoreError
+import org.guavapath.core.store.StoredObject
+import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.peers.PeerMessage
+import kotlin.time.Duration.Companion.seconds
+
+/** All crash reports as of [writtenAt], in Unix milliseconds. */
+@Serializable
+internal data class CrashReportRecord(val writtenAt: Long, val reports: List<PeerMessage.SharedCrash>)
+
+/**
+ * The crash reports in the store, for gateways that start while no other one runs.
+ *
+ * A gateway writes after its own reports only. Reports that other gateways wrote meanwhile are kept.
+ *
+ * @property isFirstStart whether there can be no stored reports, as the fleet starts for the first time
+ */
+internal class StoredCrashReports(
+    private val store: ObjectStore,
+    private val isFirstStart: Boolean,
+    private val log: GatewayLog,
+) {
+    private val requests = Channel<Unit>(Channel.CONFLATED)
+
+    /** Requests that the reports are saved. */
+    fun save() {
+        requests.trySend(Unit)
+    }
+
+    /** Returns the stored reports, or null if there are none or the store does not respond. */
+    suspend fun load(): List<CrashReport>? {
+        if (isFirstStart) return null
+        return store.read(KIND, NAME).fold(
+            success = { stored -> stored?.let { decode(it) } },
+            failure = { error ->
+                log.stateChange("crash reports not read", "error" to error.toString())
+                null
+            },
+        )
+    }
+
+    /** Saves the reports that [current] returns after each call of [save]; repeats after failures. */
+    suspend fun keepSaved(current: () -> Collection<CrashReport>) {
+        while (true) {
+            requests.receive()
+            if (!write(current)) {
+                save()
+                delay(RETRY_INTERVAL)
+            }
+        }
+    }
+
+    private suspend fun write(current: () -> Collection<CrashReport>): Boolean {
+        val present = store.read(KIND, NAME).fold(success = { it }, failure = { return failed(it) })
+        val reports = (present?.let { decode(it) }.orEmpty() + current()).associateBy { it.id }.values
+        val now = MonotonicTime.now()
+        val record = CrashReportRecord(System.currentTimeMillis(), reports.map { CrashReportCodec.encode(it, now) })
+        val value = Json.encodeToJsonElement(CrashReportRecord.serializer(), record)
+        val written = if (present == null) {
+            store.create(KIND, NAME, value)
+        } else {
+            store.replace(KIND, NAME, value, present.revision)
+        }
+        return written.fold(success = { true }, failure = { failed(it) })
+    }
+
+    private fun failed(error: StoreError): Boolean {
+        log.stateChange("crash reports not written", "error" to error.toString())
+        return false
+    }
+
+    private fun decode(stored: StoredObject): List<CrashReport> = try {
+        val record = Json.decodeFromJsonElement(CrashReportRecord.serializer(), stored.value)
+        val now = MonotonicTime.now()
+        // Clocks of VMs may differ and jump; a report is never younger than when it was written.
+        val elapsed = maxOf(0, System.currentTimeMillis() - record.writtenAt)
+        record.reports
+            .map { CrashReportCodec.decode(it.copy(ageMilliseconds = it.ageMilliseconds + elapsed), now) }
+            .filter { it.isLive(now) }
+    } catch (exception: IllegalArgumentException) {
+        log.stateChange("crash reports ignored", "error" to exception.message)
+        emptyList()
+    }
+
+    companion object {
+        /** Kind of the one object that holds the reports. */
+        val KIND = ObjectKind("guavapath-crash-reports")
+        private const val NAME = "all"
+        private val RETRY_INTERVAL = 2.seconds
+    }
+}
