Connections of replicas that send bytes without end are closed early

Callers saw nothing yet; a gateway's memory could run out. Cause: the bytes of an event, of a body that is relayed as a whole, and of skipped responses had no limit but the time of the request, and a request that failed without a retry left its connection open.

--- a/core/src/main/kotlin/org/guavapath/core/streams/EventAssembler.kt
+++ b/core/src/main/kotlin/org/guavapath/core/streams/EventAssembler.kt
@@ -25,8 +25,11 @@
     private val partial = ByteArrayOutputStream()
     private var lineLength = 0
 
+    /** Number of bytes received of an event whose end has not been received. */
+    public val partialBytes: Int get() = partial.size()
+
     /** Whether part of an event has been received but not its end. */
-    public val hasPartialEvent: Boolean get() = partial.size() > 0
+    public val hasPartialEvent: Boolean get() = partialBytes > 0
 
     /** Appends [bytes] and returns the events that they complete. */
     public fun feed(bytes: ByteArray): List<AssembledEvent> {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -111,7 +111,12 @@
         progress.bytesReceived(bytes.size, MonotonicTime.now())
         accounting.prefillEnded()
         timer.restart(STALL_TIMEOUT)
-        if (response.isRelayed) onEvent(this, AttemptEvent.BytesReceived(bytes)) else rejection.append(bytes)
+        if (response.isRelayed) {
+            onEvent(this, AttemptEvent.BytesReceived(bytes))
+        } else if (!rejection.append(bytes)) {
+            call?.cancel()
+            failed(rejection.overflow)
+        }
     }
 
     override fun complete() {
@@ -169,15 +174,6 @@
     }
 }
 
-/** Buffers a whole response body. */
-internal class BodyBuffer {
-    private val collected = java.io.ByteArrayOutputStream()
-
-    fun append(bytes: ByteArray) = collected.write(bytes)
-
-    fun bytes(): ByteArray = collected.toByteArray()
-}
-
 private val ReplicaResponseHead.isRelayed: Boolean get() = isSuccess && isSigned
 
 private fun responseHead(head: ReplicaResponseHead, headers: HttpHeaders) =
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/BodyBuffer.kt
@@ -0,0 +1,23 @@
+package org.guavapath.daemon.gateway
+
+import java.io.ByteArrayOutputStream
+
+/** Longer than any sound response that is relayed as a whole; a replica in trouble may send bytes without end. */
+private const val MAX_BODY_BYTES = 4_194_304
+
+/** Buffers a whole response body. */
+internal class BodyBuffer {
+    private val collected = ByteArrayOutputStream()
+
+    /** Why [append] returned false. */
+    val overflow: String get() = "the body exceeds $MAX_BODY_BYTES bytes"
+
+    /** Appends [bytes]; returns false if the body is too long. */
+    fun append(bytes: ByteArray): Boolean {
+        if (collected.size() + bytes.size > MAX_BODY_BYTES) return false
+        collected.write(bytes)
+        return true
+    }
+
+    fun bytes(): ByteArray = collected.toByteArray()
+}
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -72,11 +72,9 @@
                 attempts.countPossibleRun(attempt)
                 relay.offerHead(event.head)
             }
-            is AttemptEvent.BytesReceived -> when {
-                !relay.write(event.bytes) ->
-                    retryOrFail(attempt, DispatchCode.OutcomeUnknown, "the events are out of order")
-                !sink.isWritable -> attempt.setReading(false)
-            }
+            is AttemptEvent.BytesReceived -> relay.write(event.bytes)?.let { fault ->
+                retryOrFail(attempt, DispatchCode.OutcomeUnknown, fault)
+            } ?: attempt.setReading(sink.isWritable)
             is AttemptEvent.Complete -> complete(attempt, event)
             is AttemptEvent.Failed -> {
                 attempts.countPossibleRun(attempt)
@@ -119,6 +117,7 @@
 
     private fun retryOrFail(attempt: Attempt, code: DispatchCode, reason: String, hasArrived: Boolean = true) {
         if (attempts.mayRetry(hasArrived)) return retry(attempt, reason)
+        attempt.cancel()
         context.telemetry.log.attemptEnded(admitted, attempt, reason)
         completion.fail(Refusal(code, reason), attempts)
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -49,6 +49,7 @@
     private var expectedId: RequestId? = null
     private var head: ReplicaResponseHead? = null
     private var isSkipping = false
+    private var skippedBytes = 0L
     private var isReusable = true
     private var isWritten = false
     private var failure: String? = null
@@ -78,6 +79,7 @@
     fun send(request: FullHttpRequest, id: RequestId?, listener: ReplicaResponseListener) {
         this.listener = listener
         expectedId = id
+        skippedBytes = 0
         isWritten = false
         channel.writeAndFlush(request).addListener { isWritten = it.isSuccess }
     }
@@ -93,8 +95,10 @@
         when {
             listener == null -> fail("received bytes while no request was pending")
             decodingError != null -> fail("the answer is not HTTP: ${decodingError.message}")
+            skippedBytes > MAX_SKIPPED_BYTES -> fail("more than $MAX_SKIPPED_BYTES bytes of other responses")
             else -> {
                 if (message is HttpResponse) readHead(message)
+                if (isSkipping) skippedBytes += (message as? HttpContent)?.content()?.readableBytes() ?: HEAD_BYTES
                 if (message is HttpContent) readContent(message)
             }
         }
@@ -116,7 +120,8 @@
     }
 
     private fun readContent(content: HttpContent) {
-        if (!isSkipping && content.content().isReadable) listener?.body(ByteBufUtil.getBytes(content.content()))
+        val bytes = content.content()
+        if (!isSkipping && bytes.isReadable) listener?.body(ByteBufUtil.getBytes(bytes))
         if (content !is LastHttpContent) return
         if (isSkipping) isSkipping = false else if (failure == null) complete()
     }
@@ -149,6 +154,14 @@
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         fail(cause.message ?: cause.javaClass.simpleName)
     }
+
+    private companion object {
+        /** A replica in trouble may send other responses, or informational ones, without end. */
+        const val MAX_SKIPPED_BYTES = 1_048_576L
+
+        /** What a skipped head counts as; most heads are longer. */
+        const val HEAD_BYTES = 64
+    }
 }
 
 /** Whether [headers] tell where the response ends; otherwise it ends when the connection closes. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaControlClient.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaControlClient.kt
@@ -48,10 +48,10 @@
         ReplicaCodec.callHeaders(replica.id).forEach { (name, value) -> headers.set(name, value) }
         val http = ReplicaRequests.call(method, path, headers, body?.toByteArray())
         val call = pool.send(ReplicaRequest(replica, http, id = null, MAX_IDLE, MAX_CONNECTIONS), Receiver(response))
-        return withTimeoutOrNull(timeout) { response.await() } ?: run {
-            call.cancel()
-            Err(CallFailure.NoAnswer("no response within $timeout"))
-        }
+        val result = withTimeoutOrNull(timeout) { response.await() }
+            ?: Err(CallFailure.NoAnswer("no response within $timeout"))
+        if (result.isErr) call.cancel()
+        return result
     }
 
     private class Receiver(private val result: CompletableDeferred<Result<CallResponse, CallFailure>>) :
@@ -67,7 +67,9 @@
             status = head.status
         }
 
-        override fun body(bytes: ByteArray) = body.append(bytes)
+        override fun body(bytes: ByteArray) {
+            if (!body.append(bytes)) failed(body.overflow)
+        }
 
         override fun complete() {
             result.complete(Ok(CallResponse(status, body.bytes().toString(Charsets.UTF_8))))
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseRelay.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseRelay.kt
@@ -17,8 +17,8 @@
     /** Sets the head of the response; ignored once the response has begun. */
     abstract fun offerHead(offered: ResponseHead)
 
-    /** Relays the next bytes; returns false if they do not continue the response. */
-    abstract fun write(bytes: ByteArray): Boolean
+    /** Relays the next bytes; returns why they do not continue the response, null if they do. */
+    abstract fun write(bytes: ByteArray): String?
 
     /** Ends the response; returns false if it is incomplete. */
     abstract fun end(): Boolean
@@ -43,10 +43,7 @@
         head = offered
     }
 
-    override fun write(bytes: ByteArray): Boolean {
-        body.append(bytes)
-        return true
-    }
+    override fun write(bytes: ByteArray): String? = if (body.append(bytes)) null else body.overflow
 
     override fun end(): Boolean {
         sink.writeFull(checkNotNull(head), body.bytes())
@@ -82,17 +79,17 @@
         if (!hasBegun) head = offered
     }
 
-    override fun write(bytes: ByteArray): Boolean {
+    override fun write(bytes: ByteArray): String? {
         for (event in assembler.feed(bytes)) {
             val id = event.id
             val previous = lastEventId
-            if (id != null && previous != null && id <= previous) return false
+            if (id != null && previous != null && id <= previous) return "the events are out of order"
             begin()
             events += 1
             lastEventId = id ?: lastEventId
             sink.writeChunk(event.bytes)
         }
-        return true
+        return if (assembler.partialBytes > MAX_EVENT_BYTES) "an event exceeds $MAX_EVENT_BYTES bytes" else null
     }
 
     override fun end(): Boolean {
@@ -114,4 +111,9 @@
         firstEventAt = MonotonicTime.now()
         sink.begin(checkNotNull(head))
     }
+
+    private companion object {
+        /** An event is a few hundred bytes; a replica in trouble may send bytes without end. */
+        const val MAX_EVENT_BYTES = 1_048_576
+    }
 }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
@@ -1,11 +1,13 @@
 package org.guavapath.daemon.gateway
 
 import org.guavapath.platform.wire.SampleFleet
+import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -29,6 +31,11 @@
     @Volatile
     private var response: String? = sample.response
 
+    /** What follows [response] until the gateway closes the connection; null for nothing. */
+    @Volatile
+    private var endlessBlock: String? = null
+    private val endlessBytes = AtomicLong()
+
     init {
         thread(isDaemon = true) {
             generateSequence { runCatching { replica.accept() }.getOrNull() }
@@ -49,11 +56,23 @@
             heads.add(head)
             repeat(2) { reader.read() }
             response?.let { socket.getOutputStream().write(it.toByteArray()) }
+            endlessBlock?.let { writeWithoutEnd(it.toByteArray(), socket) }
             head = generateSequence { reader.readLine()?.takeIf { it.isNotEmpty() } }.toList()
         }
         closed.add(System.nanoTime())
     }
 
+    private fun writeWithoutEnd(block: ByteArray, socket: Socket) {
+        try {
+            while (true) {
+                socket.getOutputStream().write(block)
+                endlessBytes.addAndGet(block.size.toLong())
+            }
+        } catch (_: IOException) {
+            closed.add(System.nanoTime())
+        }
+    }
+
     private fun awaitReady() {
         val end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10)
         while (statusOf(readiness, "GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n") != 200) {
@@ -135,4 +154,25 @@
             assertTrue(!text.startsWith("HTTP/1.1 200"), "$name: $text")
         }
     }
+
+    /** Guards against memory that grows, and a connection that stays busy, while a replica sends bytes without end. */
+    @Test
+    fun closesConnectionsThatSendBytesWithoutEnd() = sample.endlessResponses.forEach { endless ->
+        response = endless.beginning
+        endlessBlock = endless.block
+        endlessBytes.set(0)
+        closed.clear()
+        val status = statusOf(callers, sample.request)
+        assertTrue(status >= 500, "${endless.name}: $status")
+        assertNotNull(closed.poll(2, TimeUnit.SECONDS), "${endless.name}: the connection stays open")
+        assertTrue(endlessBytes.get() < MAX_ENDLESS_BYTES, "${endless.name}: ${endlessBytes.get()} bytes were read")
+        response = sample.response
+        endlessBlock = null
+        assertEquals(200, statusOf(callers, sample.request), "${endless.name}: the next request")
+    }
+
+    private companion object {
+        /** What the gateway buffers of a response, and what sockets buffer on loopback. */
+        const val MAX_ENDLESS_BYTES = 32_000_000L
+    }
 }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
@@ -51,7 +51,9 @@
 
         override fun head(head: ReplicaResponseHead, headers: HttpHeaders) = Unit
 
-        override fun body(bytes: ByteArray) = body.append(bytes)
+        override fun body(bytes: ByteArray) {
+            body.append(bytes)
+        }
 
         override fun complete() = record(body.bytes().toString(Charsets.UTF_8))
 
