A stream is stalled if no event completes, and never while its caller does not read

Callers saw: a stream broke off in the middle because they had paused for 0.8 s; a stream whose replica sent a byte now and then ended at the deadline. Cause: the limit for stalls counted from the last bytes that were read, also while reading was paused for the caller, and any byte restarted it.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -86,8 +86,11 @@
     /** Ends the attempt and closes its connection, so that the replica stops working on the request. */
     fun cancel() = end(outcome = null) { call?.cancel() }
 
+    /** Reads on, or pauses while the caller does not keep up; a paused response is not stalled. */
     fun setReading(isReading: Boolean) {
+        if (hasEnded) return
         call?.setReading(isReading)
+        if (!isReading) timer.stop() else if (progress.bodyBytes > 0) timer.restart(STALL_TIMEOUT)
     }
 
     override fun notSent(reason: String) =
@@ -110,10 +113,11 @@
         if (hasEnded || response == null) return
         progress.bytesReceived(bytes.size, MonotonicTime.now())
         accounting.prefillEnded()
-        timer.restart(STALL_TIMEOUT)
         if (response.isRelayed) {
             onEvent(this, AttemptEvent.BytesReceived(bytes))
-        } else if (!rejection.append(bytes)) {
+        } else if (rejection.append(bytes)) {
+            timer.restart(STALL_TIMEOUT)
+        } else {
             call?.cancel()
             failed(rejection.overflow)
         }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -72,14 +72,16 @@
                 attempts.countPossibleRun(attempt)
                 relay.offerHead(event.head)
             }
-            is AttemptEvent.BytesReceived -> relay.write(event.bytes)?.let { fault ->
-                retryOrFail(attempt, DispatchCode.OutcomeUnknown, fault)
-            } ?: attempt.setReading(sink.isWritable)
+            is AttemptEvent.BytesReceived -> when (val result = relay.write(event.bytes)) {
+                RelayResult.Partial -> Unit
+                RelayResult.Advanced -> attempt.setReading(sink.isWritable)
+                is RelayResult.Invalid -> retryOrFail(attempt, DispatchCode.OutcomeUnknown, result.reason)
+            }
             is AttemptEvent.Complete -> complete(attempt, event)
             is AttemptEvent.Failed -> {
                 attempts.countPossibleRun(attempt)
                 context.crashes.examine(attempt, admitted) {
-                    if (!completion.hasEnded) retryOrFail(attempt, DispatchCode.OutcomeUnknown, event.reason)
+                    retryOrFail(attempt, DispatchCode.OutcomeUnknown, event.reason)
                 }
             }
             AttemptEvent.TimedOut -> {
@@ -116,6 +118,7 @@
     }
 
     private fun retryOrFail(attempt: Attempt, code: DispatchCode, reason: String, hasArrived: Boolean = true) {
+        if (completion.hasEnded) return
         if (attempts.mayRetry(hasArrived)) return retry(attempt, reason)
         attempt.cancel()
         context.telemetry.log.attemptEnded(admitted, attempt, reason)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseRelay.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseRelay.kt
@@ -3,6 +3,18 @@
 import org.guavapath.core.streams.EventAssembler
 import org.guavapath.core.time.MonotonicTime
 
+/** Result of [ResponseRelay.write]. */
+internal sealed class RelayResult {
+    /** The response has advanced: by at least one event of a stream, or by bytes of another response. */
+    data object Advanced : RelayResult()
+
+    /** The bytes do not complete an event. */
+    data object Partial : RelayResult()
+
+    /** The bytes do not continue the response. */
+    class Invalid(val reason: String) : RelayResult()
+}
+
 /** Relays the bytes of a successful response to the caller. */
 internal sealed class ResponseRelay {
     /** Whether any part of the response was sent to the caller. */
@@ -17,8 +29,8 @@
     /** Sets the head of the response; ignored once the response has begun. */
     abstract fun offerHead(offered: ResponseHead)
 
-    /** Relays the next bytes; returns why they do not continue the response, null if they do. */
-    abstract fun write(bytes: ByteArray): String?
+    /** Relays the next bytes. */
+    abstract fun write(bytes: ByteArray): RelayResult
 
     /** Ends the response; returns false if it is incomplete. */
     abstract fun end(): Boolean
@@ -43,7 +55,8 @@
         head = offered
     }
 
-    override fun write(bytes: ByteArray): String? = if (body.append(bytes)) null else body.overflow
+    override fun write(bytes: ByteArray): RelayResult =
+        if (body.append(bytes)) RelayResult.Advanced else RelayResult.Invalid(body.overflow)
 
     override fun end(): Boolean {
         sink.writeFull(checkNotNull(head), body.bytes())
@@ -79,17 +92,24 @@
         if (!hasBegun) head = offered
     }
 
-    override fun write(bytes: ByteArray): String? {
-        for (event in assembler.feed(bytes)) {
+    override fun write(bytes: ByteArray): RelayResult {
+        val complete = assembler.feed(bytes)
+        for (event in complete) {
             val id = event.id
             val previous = lastEventId
-            if (id != null && previous != null && id <= previous) return "the events are out of order"
+            if (id != null && previous != null && id <= previous) {
+                return RelayResult.Invalid("the events are out of order")
+            }
             begin()
             events += 1
             lastEventId = id ?: lastEventId
             sink.writeChunk(event.bytes)
         }
-        return if (assembler.partialBytes > MAX_EVENT_BYTES) "an event exceeds $MAX_EVENT_BYTES bytes" else null
+        return when {
+            assembler.partialBytes > MAX_EVENT_BYTES -> RelayResult.Invalid("an event exceeds $MAX_EVENT_BYTES bytes")
+            complete.isEmpty() -> RelayResult.Partial
+            else -> RelayResult.Advanced
+        }
     }
 
     override fun end(): Boolean {
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
@@ -36,6 +36,10 @@
     private var endlessBlock: String? = null
     private val endlessBytes = AtomicLong()
 
+    /** Milliseconds before each [endlessBlock]. */
+    @Volatile
+    private var endlessPause = 0L
+
     init {
         thread(isDaemon = true) {
             generateSequence { runCatching { replica.accept() }.getOrNull() }
@@ -65,6 +69,7 @@
     private fun writeWithoutEnd(block: ByteArray, socket: Socket) {
         try {
             while (true) {
+                Thread.sleep(endlessPause)
                 socket.getOutputStream().write(block)
                 endlessBytes.addAndGet(block.size.toLong())
             }
@@ -171,7 +176,34 @@
         assertEquals(200, statusOf(callers, sample.request), "${endless.name}: the next request")
     }
 
+    /** Guards against waiting until the deadline for a replica that sends a byte now and then but no event. */
+    @Test
+    fun givesUpAStreamThatSendsBytesButNoEvent() {
+        response = sample.trickle.beginning
+        endlessBlock = sample.trickle.block
+        endlessPause = 50
+        assertEquals(502, statusOf(callers, sample.request), "504 is the status at the deadline")
+        assertNotNull(closed.poll(2, TimeUnit.SECONDS), "the connection to the replica stays open")
+    }
+
+    /** Guards against giving up a replica because the caller reads slowly. */
+    @Test
+    fun relaysAStreamWholeToACallerThatPauses() {
+        response = sample.largeResponse
+        Socket(LOOPBACK, callers).use { socket ->
+            socket.getOutputStream().write(sample.request.toByteArray())
+            Thread.sleep(CALLER_PAUSE)
+            val lines = socket.getInputStream().bufferedReader().lineSequence().takeWhile { it != "0" }.toList()
+            val events = { text: List<String> -> text.count { it.startsWith("id: ") } }
+            assertEquals(events(sample.largeResponse.lines()), events(lines))
+        }
+        assertEquals(1, heads.size, "the request was sent once")
+    }
+
     private companion object {
+        /** Longer than a replica may pause within a response. */
+        const val CALLER_PAUSE = 1_200L
+
         /** What the gateway buffers of a response, and what sockets buffer on loopback. */
         const val MAX_ENDLESS_BYTES = 32_000_000L
     }
