Crash reports are bounded on all gateways alike, and messages answer greetings only

Found by reading, before it was seen: with more reports than are kept, gateways dropped the oldest, certain ones too, and could send each other dropped ones without end, as each message was answered with what it lacked. Change: the weakest and oldest reports are dropped, a report that is dropped at once is no change, and only the first message of a link is answered. Reports are saved in the store only if they led to a quarantine.

--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
@@ -14,23 +14,21 @@
 
     operator fun contains(report: CrashReport): Boolean = report.id in byId
 
-    /** Returns whether [others] lack a report, or a part of one, that is known here. */
-    fun hasMoreThan(others: Collection<CrashReport>): Boolean {
-        val othersById = others.associateBy { it.id }
-        return byId.values.any { report -> othersById[report.id].let { it == null || it.merge(report) != it } }
-    }
-
     /** Records that a prompt with [parts] was answered completely; returns whether a report has changed. */
     fun answered(parts: Set<PartKey>, now: MonotonicTime): Boolean {
         answered.record(parts, now)
-        return byId.isNotEmpty() && add(byId.values.toList(), now).isNotEmpty()
+        return add(byId.values.filter { report -> report.suspects.any { it in parts } }, now).isNotEmpty()
     }
 
-    /** Merges [reports] with what this VM knows; returns those that are new or have changed, as merged. */
+    /**
+     * Merges [reports] with what this VM knows; returns those that are new or have changed, as merged.
+     *
+     * If there are too many, the weakest and oldest ones are dropped, on all VMs alike.
+     */
     fun add(reports: Collection<CrashReport>, now: MonotonicTime): List<CrashReport> {
         val changed = reports.filter { it.isLive(now) }.mapNotNull { merge(it) }
-        while (byId.size > MAX_REPORTS) byId.remove(byId.keys.first())
-        return changed
+        while (byId.size > MAX_REPORTS) byId.remove(byId.values.minWith(leastRelevantFirst).id)
+        return changed.filter { it.id in byId }
     }
 
     /** Removes reports that are too old to matter at [now]; returns whether there were any. */
@@ -72,6 +70,7 @@
     companion object {
         /** One crash right before the first event, or two right after the response has begun. */
         const val SUFFICIENT_WEIGHT = 2
-        private const val MAX_REPORTS = 128
+        const val MAX_REPORTS: Int = 128
+        private val leastRelevantFirst = compareBy<CrashReport> { it.stage.weight }.thenBy { it.at }
     }
 }
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/PromptQuarantine.kt
@@ -31,9 +31,6 @@
     /** Returns whether a report on the same request and replica as [report] is known. */
     public operator fun contains(report: CrashReport): Boolean = report in ledger
 
-    /** Returns whether [reports] lack anything that is known here. */
-    public fun hasMoreThan(reports: Collection<CrashReport>): Boolean = ledger.hasMoreThan(reports)
-
     /** Records that a prompt with [parts] was answered completely at [now]; returns whether a report has changed. */
     public fun answered(parts: Set<PartKey>, now: MonotonicTime): Boolean =
         ledger.answered(parts, now).also { if (it) rebuild() }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -43,7 +43,9 @@
 
     /** Reads the stored reports, and publishes reports when they have changed, and periodically. */
     suspend fun run(scope: CoroutineScope) {
-        scope.launch { stored.keepSaved { quarantine.reports } }
+        val addStored = { reports: List<CrashReport> -> quarantine.reports.also { add(reports) } }
+        scope.launch { stored.load { addStored(it) } }
+        scope.launch { stored.keepSaved(addStored) }
         scope.launch {
             while (true) {
                 delay(REPEAT_INTERVAL)
@@ -51,10 +53,9 @@
                 changed()
             }
         }
-        scope.launch { stored.load()?.let { add(it) } }
         while (true) {
             updates.receive()
-            if (quarantine.reports.isNotEmpty()) peers.broadcast(message())
+            if (quarantine.reports.isNotEmpty()) peers.broadcast(message(isGreeting = false))
             delay(MIN_INTERVAL)
         }
     }
@@ -85,18 +86,17 @@
     /** Adds a report of this gateway. */
     fun report(report: CrashReport) {
         add(listOf(report))
-        stored.save()
+        if (quarantine.quarantined.isNotEmpty()) stored.save()
     }
 
-    /** Sends what is known here to [peer], which then answers with what it knows beyond that. */
-    fun linked(peer: VmId) = peers.send(peer, message())
+    /** Sends what is known here to [peer], which answers with what it knows. */
+    fun linked(peer: VmId) = peers.send(peer, message(isGreeting = true))
 
-    /** Applies the reports of [from], and sends it those that it lacks. */
+    /** Applies the reports of [from]. */
     fun received(from: VmId, message: PeerMessage.PromptCrashes) {
         val now = MonotonicTime.now()
-        val reports = message.reports.map { CrashReportCodec.decode(it, now) }
-        add(reports)
-        if (quarantine.hasMoreThan(reports)) peers.send(from, message())
+        add(message.reports.map { CrashReportCodec.decode(it, now) })
+        if (message.isGreeting && quarantine.reports.isNotEmpty()) peers.send(from, message(isGreeting = false))
     }
 
     private fun add(reports: List<CrashReport>) {
@@ -118,9 +118,9 @@
         updates.trySend(Unit)
     }
 
-    private fun message(): PeerMessage.PromptCrashes {
+    private fun message(isGreeting: Boolean): PeerMessage.PromptCrashes {
         val now = MonotonicTime.now()
-        return PeerMessage.PromptCrashes(quarantine.reports.map { CrashReportCodec.encode(it, now) })
+        return PeerMessage.PromptCrashes(quarantine.reports.map { CrashReportCodec.encode(it, now) }, isGreeting)
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoredCrashReports.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoredCrashReports.kt
@@ -21,7 +21,7 @@
 /**
  * The crash reports in the store, for gateways that start while no other one runs.
  *
- * A gateway writes after its own reports only. Reports that other gateways wrote meanwhile are kept.
+ * A gateway writes after its own reports only, if they led to a quarantine. Those that others wrote are kept.
  *
  * @property isFirstStart whether there can be no stored reports, as the fleet starts for the first time
  */
@@ -37,32 +37,33 @@
         requests.trySend(Unit)
     }
 
-    /** Returns the stored reports, or null if there are none or the store does not respond. */
-    suspend fun load(): List<CrashReport>? {
-        if (isFirstStart) return null
-        return store.read(KIND, NAME).fold(
-            success = { stored -> stored?.let { decode(it) } },
-            failure = { error ->
-                log.stateChange("crash reports not read", "error" to error.toString())
-                null
-            },
+    /** Passes the stored reports to [add], if there are any and the store responds. */
+    suspend fun load(add: (List<CrashReport>) -> Unit) {
+        if (isFirstStart) return
+        store.read(KIND, NAME).fold(
+            success = { stored -> stored?.let { add(decode(it)) } },
+            failure = { error -> log.stateChange("crash reports not read", "error" to error.toString()) },
         )
     }
 
-    /** Saves the reports that [current] returns after each call of [save]; repeats after failures. */
-    suspend fun keepSaved(current: () -> Collection<CrashReport>) {
+    /**
+     * Saves reports after each call of [save]; repeats after failures.
+     *
+     * @param merge adds the stored reports to those of this gateway and returns all
+     */
+    suspend fun keepSaved(merge: (List<CrashReport>) -> Collection<CrashReport>) {
         while (true) {
             requests.receive()
-            if (!write(current)) {
+            if (!write(merge)) {
                 save()
                 delay(RETRY_INTERVAL)
             }
         }
     }
 
-    private suspend fun write(current: () -> Collection<CrashReport>): Boolean {
+    private suspend fun write(merge: (List<CrashReport>) -> Collection<CrashReport>): Boolean {
         val present = store.read(KIND, NAME).fold(success = { it }, failure = { return failed(it) })
-        val reports = (present?.let { decode(it) }.orEmpty() + current()).associateBy { it.id }.values
+        val reports = merge(present?.let { decode(it) }.orEmpty())
         val now = MonotonicTime.now()
         val record = CrashReportRecord(System.currentTimeMillis(), reports.map { CrashReportCodec.encode(it, now) })
         val value = Json.encodeToJsonElement(CrashReportRecord.serializer(), record)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -130,9 +130,13 @@
     @Serializable
     data class PromptsRead(val steps: Map<String, List<Long>>) : OfFleet()
 
-    /** All that the sender knows of crashes that prompts may have caused. */
+    /**
+     * All that the sender knows of crashes that prompts may have caused.
+     *
+     * @property isGreeting whether the link is new, so that the receiver answers with what it knows
+     */
     @Serializable
-    data class PromptCrashes(val reports: List<SharedCrash>) : OfFleet()
+    data class PromptCrashes(val reports: List<SharedCrash>, val isGreeting: Boolean) : OfFleet()
 
     /**
      * One crash report; parts of prompts are hashes.
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
@@ -31,6 +31,10 @@
     @Volatile
     private var response: String? = sample.response
 
+    /** Whether the replica closes the connection after [response]. */
+    @Volatile
+    private var closesAfterResponse = false
+
     /** What follows [response] until the gateway closes the connection; null for nothing. */
     @Volatile
     private var endlessBlock: String? = null
@@ -61,6 +65,7 @@
             repeat(2) { reader.read() }
             response?.let { socket.getOutputStream().write(it.toByteArray()) }
             endlessBlock?.let { writeWithoutEnd(it.toByteArray(), socket) }
+            if (closesAfterResponse) socket.close()
             head = generateSequence { reader.readLine()?.takeIf { it.isNotEmpty() } }.toList()
         }
         closed.add(System.nanoTime())
@@ -160,6 +165,28 @@
         }
     }
 
+    /** Guards against relaying a response without a length as complete where it broke off. */
+    @Test
+    fun responsesWithoutALengthEndWithTheirConnection() {
+        closesAfterResponse = true
+        val head = SampleFleet.responseHead("5a", isFramed = false)
+        val cases = listOf(
+            Triple("whole events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true),
+            Triple("an event that breaks off", "id: 1\ndata: a\n\nid: 2\nda", false),
+            Triple("an event without the blank line", "id: 1\ndata: a\n", false),
+            Triple("no event", "", false),
+        )
+        cases.forEach { (name, events, isComplete) ->
+            response = head + events
+            val text = Socket(LOOPBACK, callers).use { socket ->
+                socket.soTimeout = 5_000
+                socket.getOutputStream().write(sample.request.toByteArray())
+                socket.getInputStream().bufferedReader().lineSequence().takeWhile { it != "0" }.joinToString("\n")
+            }
+            assertEquals(isComplete, text.startsWith("HTTP/1.1 200") && "id: 2\ndata: b" in text, "$name: $text")
+        }
+    }
+
     /** Guards against memory that grows, and a connection that stays busy, while a replica sends bytes without end. */
     @Test
     fun closesConnectionsThatSendBytesWithoutEnd() = sample.endlessResponses.forEach { endless ->
@@ -191,7 +218,7 @@
     fun relaysAStreamWholeToACallerThatPauses() {
         response = sample.largeResponse
         Socket(LOOPBACK, callers).use { socket ->
-            socket.getOutputStream().write(sample.request.toByteArray())
+            socket.getOutputStream().write(sample.patientRequest.toByteArray())
             Thread.sleep(CALLER_PAUSE)
             val lines = socket.getInputStream().bufferedReader().lineSequence().takeWhile { it != "0" }.toList()
             val events = { text: List<String> -> text.count { it.startsWith("id: ") } }
