guavapath explain: the crashes and quarantines behind a refused prompt

The command said nothing of a request with 5013 but its code. It now shows the quarantines of the request's gateway and the crashes that all gateways reported up to its end, at whatever time before. ExplanationTest has the case.

--- a/cli/src/main/kotlin/org/guavapath/cli/Explanation.kt
+++ b/cli/src/main/kotlin/org/guavapath/cli/Explanation.kt
@@ -26,7 +26,12 @@
             "weights named", "log lines dropped", "started", "stopping",
         )
 
+        /** Messages that tell why prompts are refused. A quarantine begins long before most requests that it refuses. */
+        private val QUARANTINE_MESSAGES =
+            setOf("replica crashed", "quarantine begun", "quarantine ended", "quarantine on trial")
+
         private const val RATE_EXCEEDED = 4001.0
+        private const val PROMPT_QUARANTINED = 5013.0
         private const val ANSWER_INCOMPLETE = 5004.0
 
         /** Returns the explanation of the request [id] from [lines]; null if no line has its identifier. */
@@ -37,10 +42,14 @@
             val replicas = requestLines.mapNotNull { it.fields["replica"] }.toSet()
             val start = timeOf(requestLines.first())?.minus(LOOKBACK)
             val end = timeOf(requestLines.last())
+            val isQuarantined = requestLines.last().number("code") == PROMPT_QUARANTINED
             val related = lines.filter { line ->
                 val isGatewayStateChange = line.source in gateways && line.message in GATEWAY_STATE_CHANGES
                 val isReplicaEvent = line.requestId == null && line.fields["replica"] in replicas
-                (isGatewayStateChange || isReplicaEvent) && isWithin(timeOf(line), start, end)
+                val isQuarantineEvent = isQuarantined && line.message in QUARANTINE_MESSAGES &&
+                    (line.source in gateways || line.message == "replica crashed")
+                isQuarantineEvent && isWithin(timeOf(line), Instant.MIN, end) ||
+                    (isGatewayStateChange || isReplicaEvent) && isWithin(timeOf(line), start, end)
             }
             return Explanation(
                 requestLines.map { it.toString() },
@@ -62,6 +71,8 @@
             val last = lines.last()
             return when {
                 last.number("code") == RATE_EXCEEDED -> rateExceededCause(last)
+                last.number("code") == PROMPT_QUARANTINED ->
+                    "replicas crashed on prompts with a part of this one, which is refused until the quarantine ends"
                 last.message == "refused" -> "refused before it was admitted: ${last.fields["detail"]}"
                 last.message != "ended" -> "not ended in these lines"
                 last.number("code") == ANSWER_INCOMPLETE && "firstEventMs" in last.fields ->
--- a/cli/src/test/kotlin/org/guavapath/cli/ExplanationTest.kt
+++ b/cli/src/test/kotlin/org/guavapath/cli/ExplanationTest.kt
@@ -29,6 +29,11 @@
         line(6, "dispatched", """"requestId":"late","replica":"i-2","costMs":108"""),
         line(7, "ended", """"requestId":"late","code":1000,"result":"served","status":200,"firstEventMs":671"""),
         line(8, "dispatched", """"requestId":"open","replica":"i-1","costMs":40"""),
+        line(9, "replica crashed", """"replica":"i-3","causeId":"other","partKeys":["7c","7d"]""", vm = "front-2"),
+        line(9, "quarantine begun", """"parts":["7d"]"""),
+        line(9, "quarantine begun", """"parts":["7d"]""", vm = "front-2"),
+        line(39, "ended", """"requestId":"held","code":5013,"result":"prompt-quarantined","status":503"""),
+        line(40, "quarantine ended", """"parts":["7d"]"""),
     )
 
     @Test
@@ -39,6 +44,7 @@
             "late" to
                 listOf("served (200) after 2 sends", "671.0 ms where 46.0 ms", "i-1 after 426 ms: refused with 503"),
             "open" to listOf("not ended"),
+            "held" to listOf("replicas crashed on prompts with a part of this one"),
         ).forEach { (id, parts) ->
             val cause = Explanation.of(id, log)?.cause.orEmpty()
             parts.forEach { assertTrue(it in cause, "$id: '$it' is not in '$cause'") }
@@ -53,6 +59,14 @@
         assertTrue("front-1 members" in circumstances[1], circumstances[1])
     }
 
+    @Test
+    fun circumstancesOfAQuarantinedRequestNameTheCrashes() {
+        val circumstances = Explanation.of("held", log)?.circumstances.orEmpty()
+        assertEquals(2, circumstances.size, circumstances.toString())
+        assertTrue("front-2 replica crashed replica=i-3" in circumstances[0], circumstances[0])
+        assertTrue("front-1 quarantine begun" in circumstances[1], circumstances[1])
+    }
+
     @Test
     fun textThatIsNoLogLineIsSkipped() {
         listOf("", "at java.base/java.lang.Thread.run", "{\"no\": \"message\"}", "{broken").forEach {
