--- a/cli/src/main/kotlin/org/guavapath/cli/Explanation.kt
+++ b/cli/src/main/kotlin/org/guavapath/cli/Explanation.kt
@@ -26,7 +26,7 @@
             "weights named", "log lines dropped", "started", "stopping",
         )
 
-        /** Messages that tell why prompts are refused. A quarantine begins long before most requests that it refuses. */
+        /** Messages that tell why prompts are refused; a quarantine may begin long before a request that it refuses. */
         private val QUARANTINE_MESSAGES =
             setOf("replica crashed", "quarantine begun", "quarantine ended", "quarantine on trial")
 
