--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -43,7 +43,10 @@
 
     /** Reads the stored reports, and publishes reports when they have changed, and periodically. */
     suspend fun run(scope: CoroutineScope) {
-        val addStored = { reports: List<CrashReport> -> quarantine.reports.also { add(reports) } }
+        val addStored = { reports: List<CrashReport> ->
+            add(reports)
+            quarantine.reports
+        }
         scope.launch { stored.load { addStored(it) } }
         scope.launch { stored.keepSaved(addStored) }
         scope.launch {
