Gateways log the rates that replicas name

The lines could not tell whether a gateway had read a replica's rate, nor whether a request was sent in spite of it. A gateway now logs each change of a named rate and each value that is not one decimal number, counts the replicas that have named one, and the line of a dispatched request has the rate of its replica. No decision depends on it yet.

Ruled out: a line for each response, which would be a third line for each request.

--- a/core/src/main/kotlin/org/guavapath/core/fleet/Replica.kt
+++ b/core/src/main/kotlin/org/guavapath/core/fleet/Replica.kt
@@ -29,6 +29,14 @@
     override fun toString(): String = number.toString()
 }
 
+/**
+ * One run of a replica.
+ *
+ * @property id the replica's identity
+ * @property startedAt start of the run in Unix milliseconds, 0 if not listed
+ */
+public data class ReplicaIncarnation(public val id: ReplicaId, public val startedAt: Long)
+
 /**
  * A replica as listed by the platform.
  *
@@ -52,4 +60,7 @@
     public val isDraining: Boolean,
     public val warmUpLeft: Duration,
     public val weights: Map<ModelName, WeightsNumber>,
-)
+) {
+    /** This run of the replica. */
+    public val incarnation: ReplicaIncarnation get() = ReplicaIncarnation(id, startedAt)
+}
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -101,6 +101,7 @@
         progress.headReceived(MonotonicTime.now())
         this.head = head
         this.headers = headers.copy()
+        context.namedRates.responded(record.entry, head, startedAt)
         val model = admitted.request.prompt?.model
         if (model != null) head.weights?.let { record.recordWeights(model, it) }
         if (!head.isRelayed) return
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -105,7 +105,8 @@
     private fun send(result: PlacementResult.Chosen): Refusal? {
         history.sent()
         tried.add(result.chosen.record.entry.id)
-        context.telemetry.log.dispatched(admitted, result, history.sends)
+        val namedRate = context.fleet.rates.rate(result.chosen.record.entry.incarnation)
+        context.telemetry.log.dispatched(admitted, result, history.sends, namedRate)
         relay.restart()
         val attempt = Attempt(context, admitted, result.chosen, onEvent)
         current = attempt
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -41,6 +41,9 @@
     /** Keeps prompts that crash replicas away from them. */
     val quarantine: QuarantineTask
 
+    /** Records the rates that replicas name. */
+    val namedRates: NamedRateTask
+
     /** Called when a request is sent to a replica. */
     fun requestSent()
 }
@@ -60,6 +63,7 @@
     val running = LinkedHashSet<Exchange>()
 
     val quarantine: QuarantineTask get() = host.quarantine
+    val namedRates: NamedRateTask get() = host.namedRates
     val crashes = CrashExaminer(pool, host.quarantine, telemetry.log)
 
     /** Counts the first send of a request to [service]. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
@@ -6,6 +6,7 @@
 import org.guavapath.core.placement.ReplicaRegistry
 import org.guavapath.core.quarantine.PromptQuarantine
 import org.guavapath.core.quota.FleetQuota
+import org.guavapath.core.throttling.NamedRates
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.core.weights.TargetWeights
 
@@ -15,6 +16,7 @@
     val directory = PromptDirectory()
     val weights = TargetWeights()
     val quarantine = PromptQuarantine()
+    val rates = NamedRates()
     val quota = FleetQuota(startedAt, isFirstStart)
     val placement = Placement(domain, replicas, directory, weights)
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -8,6 +8,7 @@
 import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.placement.PlacementResult
 import org.guavapath.core.quota.BucketReading
+import org.guavapath.core.throttling.RequestRate
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.pipeline.Refusal
 
@@ -41,8 +42,8 @@
             "rateShare" to limit?.bucket?.share,
         )
 
-    /** Logs the replica chosen for a request. */
-    fun dispatched(admitted: AdmittedRequest, result: PlacementResult.Chosen, send: Int) {
+    /** Logs the replica chosen for a request, and the rate that it has named. */
+    fun dispatched(admitted: AdmittedRequest, result: PlacementResult.Chosen, send: Int, namedRate: RequestRate?) {
         val chosen = result.chosen
         val load = chosen.record.load(MonotonicTime.now())
         write(
@@ -62,6 +63,7 @@
             "queuedTokens" to load.promptTokens,
             "running" to load.requests,
             "weights" to chosen.weights?.number,
+            "namedRate" to namedRate?.perSecond,
         )
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
@@ -39,6 +39,7 @@
         gauge("guavapath.gateway.configuration.version") { operator.configuration?.version?.number ?: 0 }
         gauge("guavapath.gateway.log.dropped") { LogDropCounter.total }
         gauge("guavapath.gateway.reachable.share") { fleet.quota.reachableShare(MonotonicTime.now()) }
+        gauge("guavapath.gateway.replicas.with.named.rate") { fleet.rates.limitedReplicas }
         gauge("guavapath.gateway.prompt.crash.reports") { fleet.quarantine.reports.size }
         gauge("guavapath.gateway.quarantined.prompts") { fleet.quarantine.quarantined.size }
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -109,7 +109,7 @@
             isSkipping = true
             return
         }
-        val decoded = ResponseCodec.decode(response.status().code()) { response.headers().get(it) }
+        val decoded = ResponseCodec.decode(response.status().code()) { response.headers().getAll(it) }
         val isForAnotherRequest = expectedId != null && decoded.request != expectedId
         isReusable = isReusable && HttpUtil.isKeepAlive(response) && !isForAnotherRequest &&
             isFramed(response.headers())
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaControlClient.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaControlClient.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 import org.guavapath.core.fleet.Replica
+import org.guavapath.core.time.MonotonicTime
 import org.guavapath.platform.wire.ReplicaCodec
 import org.guavapath.platform.wire.ReplicaResponseHead
 import kotlin.time.Duration
@@ -29,7 +30,7 @@
 }
 
 /** Makes the gateway's own calls to replicas: report queries and orders to load weights. */
-internal class ReplicaControlClient(private val pool: ReplicaPool) {
+internal class ReplicaControlClient(private val pool: ReplicaPool, private val namedRates: NamedRateTask) {
     suspend fun report(replica: Replica, timeout: Duration): Result<CallResponse, CallFailure> =
         call(replica, HttpMethod.GET, ReplicaCodec.REPORT_PATH, body = null, timeout)
 
@@ -47,15 +48,19 @@
         val headers = DefaultHttpHeaders().set("Host", replica.address)
         ReplicaCodec.callHeaders(replica.id).forEach { (name, value) -> headers.set(name, value) }
         val http = ReplicaRequests.call(method, path, headers, body?.toByteArray())
-        val call = pool.send(ReplicaRequest(replica, http, id = null, MAX_IDLE, MAX_CONNECTIONS), Receiver(response))
+        val sentAt = MonotonicTime.now()
+        val receiver = Receiver(response) { namedRates.responded(replica, it, sentAt) }
+        val call = pool.send(ReplicaRequest(replica, http, id = null, MAX_IDLE, MAX_CONNECTIONS), receiver)
         val result = withTimeoutOrNull(timeout) { response.await() }
             ?: Err(CallFailure.NoAnswer("no response within $timeout"))
         if (result.isErr) call.cancel()
         return result
     }
 
-    private class Receiver(private val result: CompletableDeferred<Result<CallResponse, CallFailure>>) :
-        ReplicaResponseListener {
+    private class Receiver(
+        private val result: CompletableDeferred<Result<CallResponse, CallFailure>>,
+        private val onHead: (ReplicaResponseHead) -> Unit,
+    ) : ReplicaResponseListener {
         private val body = BodyBuffer()
         private var status = 0
 
@@ -65,6 +70,7 @@
 
         override fun head(head: ReplicaResponseHead, headers: HttpHeaders) {
             status = head.status
+            onHead(head)
         }
 
         override fun body(bytes: ByteArray) {
