Requests to replicas that name a rate need a permit of one gateway

Cause: the rate was a header like any other, relayed to callers and read by nobody. The class of fault is a limit of the whole fleet that no part of the fleet keeps: even a gateway that had read it alone would have been eight times too fast.

Change: a named rate closes its replica but for permits. For each replica one gateway, chosen by rendezvous hash, hands them out from a bucket that holds two; a request asks it before it is sent, or goes to the next best replica, or is refused at once with 5014 and the time at which the rates of the service let it return. Gateways that cannot hear each other may choose different arbiters; each publishes the candidates that it chooses from, and an arbiter uses only the share of the rate of those whose choice it is, so that the shares never exceed the rate. Members of hubs ask their hub. Reports and orders to such a replica are counted, not held back.

Ruled out: the rate divided by the number of gateways (85 gateways at 2 a second: one request in 42 s each, idle while another refuses, or 85 at once); running totals as for workspaces (all gateways see the same free token); a lease in the store (no permits while it is down).

Links: builds of protocol version 2 refuse unknown messages and properties.

--- a/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -28,6 +28,7 @@
  * @property cacheOwner the only workspace whose cached parts may be used, null if parts may be shared
  * @property excluded replicas that were already tried
  * @property cacheStore the store of cached parts, null if there is none
+ * @property closed replicas that take no further request now, but from which cached parts may be fetched
  */
 public data class PlacementRequest(
     public val service: ServiceName,
@@ -35,6 +36,7 @@
     public val cacheOwner: WorkspaceName?,
     public val excluded: Set<ReplicaId>,
     public val cacheStore: CacheStore?,
+    public val closed: Set<ReplicaId> = emptySet(),
 )
 
 /**
@@ -77,6 +79,9 @@
      * @property reason how many replicas remained after each check
      */
     public data class NoReplica(public val reason: String) : PlacementResult()
+
+    /** All replicas that could take the request are closed. */
+    public data object AllClosed : PlacementResult()
 }
 
 /**
@@ -101,12 +106,18 @@
         val listed = replicas.of(request.service)
         val usable = listed.filter { !it.entry.isDraining && it.entry.id !in request.excluded }
         val current = usable.filter { isCurrentEnough(it, request.prompt, now) }
-        if (current.isEmpty()) {
-            return PlacementResult.NoReplica("${listed.size} listed, ${usable.size} usable, none with current weights")
+        val open = current.filter { it.entry.id !in request.closed }
+        return when {
+            current.isEmpty() ->
+                PlacementResult.NoReplica("${listed.size} listed, ${usable.size} usable, none with current weights")
+            open.isEmpty() -> PlacementResult.AllClosed
+            else -> best(open, Scorer(request, current.map { it.entry.id }.toSet(), now), now)
         }
-        val healthy = current.filter { !it.health.isAvoided(now) && it.loadingUntil <= now }
-        val candidates = healthy.ifEmpty { current.filter { it.loadingUntil <= now } }.ifEmpty { current }
-        val scorer = Scorer(request, current.map { it.entry.id }.toSet(), now)
+    }
+
+    private fun best(open: List<ReplicaRecord>, scorer: Scorer, now: MonotonicTime): PlacementResult.Chosen {
+        val healthy = open.filter { !it.health.isAvoided(now) && it.loadingUntil <= now }
+        val candidates = healthy.ifEmpty { open.filter { it.loadingUntil <= now } }.ifEmpty { open }
         val scored = candidates.map { scorer.score(it) }
         val chosen = scored.minWith(compareBy<ScoredReplica> { it.cost }.thenBy { it.record.entry.id })
         return PlacementResult.Chosen(chosen, candidates.size)
--- a/core/src/main/kotlin/org/guavapath/core/results/DispatchCode.kt
+++ b/core/src/main/kotlin/org/guavapath/core/results/DispatchCode.kt
@@ -124,4 +124,13 @@
         outcome = RunOutcome.NOT_RUN,
         sentence = "Endpoints failed on requests with a part of this prompt; it was not run.",
     )
+
+    /** All replicas that could serve the request get as many requests as they have said that they take. */
+    public data object EndpointsAtRate : DispatchCode(
+        number = 5014,
+        label = "endpoints-at-rate",
+        status = HttpStatus.UNAVAILABLE,
+        outcome = RunOutcome.NOT_RUN,
+        sentence = "The endpoints get as many requests as they take; this one was not run.",
+    )
 }
--- a/core/src/main/kotlin/org/guavapath/core/throttling/NamedRates.kt
+++ b/core/src/main/kotlin/org/guavapath/core/throttling/NamedRates.kt
@@ -35,9 +35,11 @@
     /** Number of replicas whose rate is limited. */
     public val limitedReplicas: Int get() = newest.values.count { it.rate != null }
 
+    /** Returns the newest notice of [replica], null if there is none. */
+    public fun notice(replica: ReplicaIncarnation): RateNotice? = newest[replica.id]?.takeIf { it.replica == replica }
+
     /** Returns the rate of [replica], null if it has none. */
-    public fun rate(replica: ReplicaIncarnation): RequestRate? =
-        newest[replica.id]?.takeIf { it.replica == replica }?.rate
+    public fun rate(replica: ReplicaIncarnation): RequestRate? = notice(replica)?.rate
 
     /**
      * Applies a response of [replica], received at [now].
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -21,7 +21,8 @@
         RetryPolicy.Idempotent, RetryPolicy.AtMostOnce -> BufferedRelay(sink)
     }
     private val completion = ExchangeCompletion(context, admitted, sink, relay)
-    private val attempts = ExchangeAttempts(context, admitted, relay, ::onAttemptEvent)
+    private val attempts: ExchangeAttempts =
+        ExchangeAttempts(context, admitted, relay, ::onAttemptEvent) { completion.fail(it, attempts) }
 
     /** Sends the request to its first replica. */
     fun start() {
@@ -29,11 +30,12 @@
         val timer = context.loop.schedule({ onTimeout() }, remaining, TimeUnit.MILLISECONDS)
         completion.onEnd = {
             timer.cancel(false)
+            attempts.isOver = true
             context.running.remove(this)
         }
         context.running.add(this)
         context.recordFirstSend(admitted.service)
-        attempts.sendNext()?.let { completion.fail(it, attempts) }
+        attempts.sendNext()
     }
 
     override fun callerDisconnected() {
@@ -129,7 +131,7 @@
     private fun retry(attempt: Attempt, reason: String) {
         attempt.cancel()
         context.telemetry.log.attemptEnded(admitted, attempt, reason)
-        attempts.sendNext()?.let { completion.fail(it, attempts) }
+        attempts.sendNext()
     }
 
     private fun onTimeout() {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -9,20 +9,26 @@
 import org.guavapath.core.placement.ScoredReplica
 import org.guavapath.core.quarantine.QuarantineVerdict
 import org.guavapath.core.results.DispatchCode
+import org.guavapath.core.throttling.PermitDecision
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.pipeline.Refusal
-import org.guavapath.platform.wire.ReplicaInstructions
 import org.guavapath.platform.wire.ReplicaResponseHead
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Tracks the replicas that one request was sent to, and chooses the next one. */
+/**
+ * Tracks the replicas that one request was sent to, and chooses the next one.
+ *
+ * @param onRefused called if there is no replica to send the request to
+ */
 internal class ExchangeAttempts(
     private val context: ExchangeContext,
     private val admitted: AdmittedRequest,
     private val relay: ResponseRelay,
     private val onEvent: (Attempt, AttemptEvent) -> Unit,
+    private val onRefused: (Refusal) -> Unit,
 ) {
     private val history = SendHistory(admitted.route.retryPolicy, admitted.route.maxReplicas)
+    private val instructions = InstructionsFactory(context, admitted)
     private val tried = HashSet<ReplicaId>()
 
     /** The running attempt, or the last one. */
@@ -35,8 +41,14 @@
     var isTrial = false
         private set
 
-    /** Sends the request to the best replica not yet tried; returns a refusal, or null if it was sent. */
-    fun sendNext(): Refusal? = quarantineRefusal() ?: sendToBest()
+    /** Whether the request has ended and is not sent any more. */
+    var isOver = false
+
+    /** Sends the request, at once or soon, to the best replica not yet tried that takes it, or refuses it. */
+    fun sendNext() {
+        val refusal = quarantineRefusal()
+        if (refusal != null) onRefused(refusal) else sendToBest()
+    }
 
     private fun quarantineRefusal(): Refusal? {
         val prompt = admitted.request.prompt ?: return null
@@ -51,21 +63,34 @@
         }
     }
 
-    private fun sendToBest(): Refusal? {
+    private fun sendToBest() {
         val owner = admitted.workspace?.takeIf { it.isIsolated }?.name
         val placementRequest = PlacementRequest(
             admitted.service.name,
             admitted.request.prompt,
             owner,
             tried,
-            admitted.destination.cacheStore
+            admitted.destination.cacheStore,
+            context.permits.closedReplicas,
         )
-        return when (val result = context.fleet.placement.choose(placementRequest, MonotonicTime.now())) {
-            is PlacementResult.NoReplica -> Refusal(DispatchCode.NoEndpoint, result.reason)
-            is PlacementResult.Chosen -> overloadRefusal(result.chosen) ?: send(result)
+        when (val result = context.fleet.placement.choose(placementRequest, MonotonicTime.now())) {
+            is PlacementResult.NoReplica -> onRefused(Refusal(DispatchCode.NoEndpoint, result.reason))
+            is PlacementResult.AllClosed -> onRefused(
+                Refusal(DispatchCode.EndpointsAtRate, retryAfter = context.timeToReturn(admitted.service)),
+            )
+            is PlacementResult.Chosen -> overloadRefusal(result.chosen)?.let(onRefused) ?: sendIfPermitted(result)
         }
     }
 
+    private fun sendIfPermitted(result: PlacementResult.Chosen) =
+        context.permits.request(result.chosen.record.entry) { decision ->
+            when {
+                isOver -> Unit
+                decision is PermitDecision.Granted -> send(result)
+                else -> sendToBest()
+            }
+        }
+
     /** Returns a refusal if the response would be late, unless it has begun or the request has no prompt. */
     private fun overloadRefusal(chosen: ScoredReplica): Refusal? {
         val timeLeft = admitted.dueAt - MonotonicTime.now()
@@ -102,7 +127,7 @@
         }
     }
 
-    private fun send(result: PlacementResult.Chosen): Refusal? {
+    private fun send(result: PlacementResult.Chosen) {
         history.sent()
         tried.add(result.chosen.record.entry.id)
         val namedRate = context.fleet.rates.rate(result.chosen.record.entry.incarnation)
@@ -110,37 +135,11 @@
         relay.restart()
         val attempt = Attempt(context, admitted, result.chosen, onEvent)
         current = attempt
-        attempt.start(instructions(result.chosen))
+        attempt.start(instructions.of(result.chosen, relay.resumeAfter))
         context.requestSent()
-        return null
-    }
-
-    private fun instructions(chosen: ScoredReplica) = ReplicaInstructions(
-        timeLeft = admitted.dueAt - MonotonicTime.now(),
-        workspace = admitted.workspace?.name,
-        replica = chosen.record.entry.id,
-        priority = admitted.workspace?.priority ?: admitted.route.priority,
-        weights = chosen.weights,
-        salt = chosen.path?.salt,
-        fetchFrom = chosen.source?.address,
-        saveTo = saveTarget(chosen),
-        resumeAfter = relay.resumeAfter,
-    )
-
-    /** Long shared parts are saved once, so that they outlive the memory of the replica that prefilled them. */
-    private fun saveTarget(chosen: ScoredReplica): String? {
-        val path = chosen.path ?: return null
-        val now = MonotonicTime.now()
-        val isStored = context.fleet.directory.storedTokens(path, now) >= path.sharedTokens
-        val store = admitted.destination.cacheStore?.takeIf { path.sharedTokens >= MIN_SAVED_TOKENS && !isStored }
-        if (store != null) context.fleet.directory.recordStored(path, now)
-        return store?.address
     }
 
     private companion object {
-        /** The store saves whole prompts, so saving a short shared part would evict longer ones. */
-        const val MIN_SAVED_TOKENS = 1_000
-
         val MIN_TIME_FOR_RETRY = 50.milliseconds
 
         /** The replica list is up to date within two seconds of an address change. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -9,6 +9,7 @@
 import org.guavapath.core.fleet.ServiceName
 import org.guavapath.core.quota.RetryBudget
 import org.guavapath.core.time.MonotonicTime
+import kotlin.time.Duration
 
 /** Target service of a request, and the store of cached prompt parts if there is one. */
 internal class Destination(val service: FleetService, val cacheStore: CacheStore?)
@@ -44,6 +45,9 @@
     /** Records the rates that replicas name. */
     val namedRates: NamedRateTask
 
+    /** Obtains permits for requests to replicas that have named a rate. */
+    val permits: PermitTask
+
     /** Called when a request is sent to a replica. */
     fun requestSent()
 }
@@ -64,6 +68,8 @@
 
     val quarantine: QuarantineTask get() = host.quarantine
     val namedRates: NamedRateTask get() = host.namedRates
+    val permits: PermitTask get() = host.permits
+    private val returnTimes = ReturnTimes(fleet)
     val crashes = CrashExaminer(pool, host.quarantine, telemetry.log)
 
     /** Counts the first send of a request to [service]. */
@@ -73,6 +79,9 @@
     fun takeRetry(service: FleetService): Boolean =
         budget(service).takeRetry(settings.repeatSlack / host.fleetSize, MonotonicTime.now())
 
+    /** Returns when a caller may return whose request all replicas of [service] are too limited to take. */
+    fun timeToReturn(service: FleetService): Duration = returnTimes.next(service, host.fleetSize)
+
     /** This VM's share of the connections that one replica of [service] accepts. */
     fun maxConnectionsFor(service: FleetService): Int =
         maxOf(MIN_CONNECTIONS, service.connectionLimit / host.fleetSize)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -16,6 +16,8 @@
 import org.guavapath.core.identity.Incarnation
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.store.ObjectStore
+import org.guavapath.core.store.Revision
+import org.guavapath.core.throttling.RateArbitration
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.peers.PeerHandshake
 import org.guavapath.daemon.peers.PeerMessage
@@ -60,9 +62,14 @@
     private val exchange = PeerExchange(settings.vm, viewExchange, peers, topology, liveness, lease)
     private val storedCrashes = StoredCrashReports(store, settings.isFirstStart, log)
     override val quarantine = QuarantineTask(fleet, exchange, storedCrashes, log)
-    override val namedRates = NamedRateTask(fleet, log)
+    private val arbitration = RateArbitration(settings.vm)
+    private val ratePeers = LinkedRatePeers(settings.vm, topology, exchange)
+    override val namedRates = NamedRateTask(fleet, arbitration, ratePeers, log)
+    override val permits = PermitTask(fleet, arbitration, namedRates, ratePeers, loop) {
+        members.fleetSize.takeIf { membersView.asOf > Revision.NONE }
+    }
     private val publisher = PeerPublisher(incarnation, fleet, viewExchange, peers, topology, exchange)
-    private val loader = WeightsLoader(settings.vm.text, lease, ReplicaControlClient(pool, namedRates), log)
+    private val loader = WeightsLoader(settings.vm.text, lease, ReplicaControlClient(pool, namedRates, permits), log)
     private val rollout = RolloutTask(fleet, lease, loader, exchange)
     private val exchanges = ExchangeContext(loop, pool, fleet, telemetry, settings, this)
     private val admission = AdmissionHandler(exchanges, operator)
@@ -95,6 +102,8 @@
         scope.launch { rollout.run(scope) }
         quarantine.onQuarantined = { exchanges.running.toList().forEach { it.endIfQuarantined() } }
         scope.launch { quarantine.run(scope) }
+        scope.launch { namedRates.run(scope) }
+        scope.launch { permits.run() }
         callerListener = CallerHttpServer(group, admission).start(SocketAddress.of(settings.callers))
         ReadinessServer(group, ::isReady, telemetry.metrics::text).start(SocketAddress.of(settings.readiness))
     }
@@ -128,6 +137,7 @@
             is PeerMessage.ViewContent -> viewExchange.adopt(from, message)
             is PeerMessage.ViewChanged -> viewExchange.adopt(from, message)
             is PeerMessage.PromptCrashes -> quarantine.received(from, message)
+            is PeerMessage.OfRates -> permits.received(from, message)
             is PeerMessage.OfRollout -> {
                 rollout.received(message)
                 exchange.relay(from, message)
@@ -139,6 +149,7 @@
     override suspend fun linked(peer: VmId) {
         log.stateChange("peer linked", "peer" to peer.text)
         quarantine.linked(peer)
+        namedRates.linked(peer)
     }
 
     /**
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerTopology.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerTopology.kt
@@ -34,7 +34,10 @@
     private val statuses = HashMap<VmId, PeerStatus>()
     private var addresses = emptyMap<VmId, String>()
     private var plan = LinkPlan(LinkRole.Equal, emptyList(), emptySet())
-    private var upstream: VmId? = null
+
+    /** The hub that this gateway follows as a member, null if there is none. */
+    var upstream: VmId? = null
+        private set
     private var withoutHubSince: MonotonicTime? = null
 
     /** Whether a hub relays this gateway's reports; a member reports to its hub only. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaControlClient.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaControlClient.kt
@@ -30,7 +30,11 @@
 }
 
 /** Makes the gateway's own calls to replicas: report queries and orders to load weights. */
-internal class ReplicaControlClient(private val pool: ReplicaPool, private val namedRates: NamedRateTask) {
+internal class ReplicaControlClient(
+    private val pool: ReplicaPool,
+    private val namedRates: NamedRateTask,
+    private val permits: PermitTask,
+) {
     suspend fun report(replica: Replica, timeout: Duration): Result<CallResponse, CallFailure> =
         call(replica, HttpMethod.GET, ReplicaCodec.REPORT_PATH, body = null, timeout)
 
@@ -48,6 +52,7 @@
         val headers = DefaultHttpHeaders().set("Host", replica.address)
         ReplicaCodec.callHeaders(replica.id).forEach { (name, value) -> headers.set(name, value) }
         val http = ReplicaRequests.call(method, path, headers, body?.toByteArray())
+        permits.count(replica)
         val sentAt = MonotonicTime.now()
         val receiver = Receiver(response) { namedRates.responded(replica, it, sentAt) }
         val call = pool.send(ReplicaRequest(replica, http, id = null, MAX_IDLE, MAX_CONNECTIONS), receiver)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerHandshake.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerHandshake.kt
@@ -22,6 +22,7 @@
     private val vm: VmId,
     private val incarnation: Incarnation,
     private val secrets: List<String>,
+    private val highestVersion: Int = HIGHEST_PROTOCOL_VERSION,
 ) {
     private val random = SecureRandom()
 
@@ -31,7 +32,8 @@
      * @throws PeerProtocolException if the other end speaks another protocol version or its proof is missing or wrong
      */
     suspend fun open(input: ByteReadChannel, output: ByteWriteChannel, end: LinkEnd): PeerMessage.Hello {
-        val own = PeerMessage.Hello(PROTOCOL_VERSION, vm, incarnation, newChallenge())
+        val challenge = PeerMessage.Hello.challenge(newChallenge(), highestVersion)
+        val own = PeerMessage.Hello(PROTOCOL_VERSION, vm, incarnation, challenge)
         PeerFrames.write(output, own)
         val other = PeerFrames.read(input) as? PeerMessage.Hello ?: refuse(PeerCode.FrameMalformed, "expected Hello")
         if (other.protocolVersion != PROTOCOL_VERSION) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerLink.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerLink.kt
@@ -16,18 +16,23 @@
 /** A link is closed when nothing was received for this long. */
 internal val SILENCE_TIMEOUT = 3.seconds
 
-/** An open link with [peer]. Both ends send messages; the accepting end returns the dialling end's heartbeats. */
+/**
+ * An open link with [peer], which understands protocol versions up to [version].
+ *
+ * Both ends send messages; the accepting end returns the dialling end's heartbeats.
+ */
 internal class PeerLink(
     val peer: VmId,
+    private val version: Int,
     private val input: ByteReadChannel,
     private val output: ByteWriteChannel,
     private val end: LinkEnd,
 ) {
     private val queue = Channel<PeerMessage>(QUEUE_CAPACITY)
 
-    /** Queues [message]; it is dropped if the queue is full. */
+    /** Queues [message]; it is dropped if the queue is full or the peer does not understand it. */
     fun send(message: PeerMessage) {
-        queue.trySend(message)
+        if (message.sinceVersion <= version) queue.trySend(message)
     }
 
     /** Runs the link until it fails or times out; passes messages other than heartbeats to [receiver]. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -14,20 +14,42 @@
 import org.guavapath.core.platform.ObjectVersion
 import org.guavapath.core.quarantine.CrashStage
 
-/** Version of the protocol between daemons; both ends must have the same. */
+/** Version of the protocol that all linked daemons understand; both ends must have the same. */
 internal const val PROTOCOL_VERSION = 2
 
+/** Highest version that this build understands; a peer receives no message of a version later than its own. */
+internal const val HIGHEST_PROTOCOL_VERSION = 3
+
 /** A message between two daemons. */
 @Serializable
 internal sealed class PeerMessage {
-    /** First message of each end: its identity and a random challenge. */
+    /** Protocol version since which daemons understand the message. */
+    open val sinceVersion: Int get() = PROTOCOL_VERSION
+
+    /**
+     * First message of each end: its identity and a random challenge.
+     *
+     * @property challenge random text; since version 3 also the highest version that the sender understands, as builds
+     *   of version 2 accept any challenge but no further property
+     */
     @Serializable
     data class Hello(
         val protocolVersion: Int,
         val vm: VmId,
         val incarnation: Incarnation,
         val challenge: String,
-    ) : PeerMessage()
+    ) : PeerMessage() {
+        /** Highest protocol version that the sender understands. */
+        val highestVersion: Int
+            get() = challenge.substringAfter(VERSION_SEPARATOR, "").toIntOrNull() ?: protocolVersion
+
+        companion object {
+            private const val VERSION_SEPARATOR = ";"
+
+            /** Returns a challenge of [randomText] and the sender's highest [version]. */
+            fun challenge(randomText: String, version: Int): String = randomText + VERSION_SEPARATOR + version
+        }
+    }
 
     /** Second message of each end: the keyed hash of its own [Hello] and the other end's challenge. */
     @Serializable
@@ -157,6 +179,59 @@
         val trials: Int,
     )
 
+    /** A message about the rates of requests that replicas name. */
+    @Serializable
+    sealed class OfRates : OfFleet() {
+        override val sinceVersion: Int get() = HIGHEST_PROTOCOL_VERSION
+    }
+
+    /**
+     * Rates that the sender knows, and its ballot on who hands out permits.
+     *
+     * @property candidates VMs among which the sender chooses arbiters, empty if it is a member of a hub
+     * @property vms number of VMs that ask for permits through the sender
+     * @property isGreeting whether the link is new, so that the receiver answers with all that it knows
+     */
+    @Serializable
+    data class RatesTold(
+        val rates: List<SharedRate>,
+        val candidates: Set<VmId>,
+        val vms: Int,
+        val isGreeting: Boolean,
+    ) : OfRates()
+
+    /**
+     * The rate of one incarnation of a replica.
+     *
+     * @property perSecond requests per second, null if the replica has no rate any more
+     * @property ageMilliseconds time since the replica stated it
+     */
+    @Serializable
+    data class SharedRate(
+        val replica: String,
+        val startedAt: Long,
+        val perSecond: Double?,
+        val ageMilliseconds: Long,
+    )
+
+    /**
+     * The sender asks for a permit to send one request.
+     *
+     * @property number identifies the question among those of the sender
+     * @property rate the replica's rate as the sender knows it
+     * @property isMandatory whether the request is sent in any case and is only to be counted
+     */
+    @Serializable
+    data class PermitWanted(val number: Long, val rate: SharedRate, val isMandatory: Boolean) : OfRates()
+
+    /** The answer to the question [number]; if it is denied, when the next permit is expected. */
+    @Serializable
+    data class PermitDecided(
+        val number: Long,
+        val isGranted: Boolean,
+        val retryAfterMilliseconds: Long,
+    ) : OfRates()
+
     /** A message about replicas that change their weights. */
     @Serializable
     sealed class OfRollout : OfFleet()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerTask.kt
@@ -103,7 +103,7 @@
         val input = socket.openReadChannel()
         val output = socket.openWriteChannel()
         val other = withTimeout(SILENCE_TIMEOUT) { handshake.open(input, output, end) }
-        val link = PeerLink(other.vm, input, output, end)
+        val link = PeerLink(other.vm, other.highestVersion, input, output, end)
         openLinks[other.vm] = link
         try {
             link.run(receiver)
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/NamedRateFleetTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/NamedRateFleetTest.kt
@@ -40,7 +40,7 @@
         Thread.sleep(LINK_TIME.inWholeMilliseconds)
     }
 
-    /** Sends one request per [interval] to the gateways in turn for [duration] and returns the heads of the responses. */
+    /** Sends one request per [interval] to the gateways in turn for [duration]; returns the responses. */
     fun sendFor(duration: Duration, interval: Duration): List<String> {
         val end = TimeSource.Monotonic.markNow() + duration
         val sent = ArrayList<Future<String>>()
@@ -87,12 +87,28 @@
 
 /** Runs linked gateways with replicas that name the rate of requests that they accept from the whole fleet. */
 class NamedRateFleetTest {
-    /** Whole numbers of requests that arrived in the fullest span of [WINDOW] of those after [from]. */
-    private fun mostInWindow(arrivals: List<Duration>, from: Duration): Int {
-        val times = arrivals.filter { it >= from }.sorted()
-        return times.maxOfOrNull { start -> times.count { it >= start && it - start < WINDOW } } ?: 0
+    /** Gateways and replicas with these [rates], null for a replica without one. */
+    private class Case(val name: String, val rates: List<Double?>) {
+        val isAnyUnlimited = null in rates
     }
 
+    /** Returns how many of [arrivals] lie in the fullest span of [WINDOW]. */
+    private fun mostInWindow(arrivals: List<Duration>): Int =
+        arrivals.maxOfOrNull { start -> arrivals.count { it >= start && it - start < WINDOW } } ?: 0
+
+    /** Returns the times of requests to each replica, and the responses, from when the gateways know the rates. */
+    private fun play(case: Case): Pair<List<List<Duration>>, List<String>> =
+        LimitedFleet(GATEWAYS, case.rates.size).use { fleet ->
+            fleet.replicas.zip(case.rates).forEach { (replica, rate) -> replica.rateText = rate?.toString() }
+            fleet.sendFor(LEARNING_TIME, REQUEST_INTERVAL)
+            val begins = fleet.replicas.map { it.now }
+            val responses = fleet.sendFor(MEASURED_TIME, REQUEST_INTERVAL)
+            val arrivals = fleet.replicas.zip(begins).map { (replica, begin) ->
+                replica.arrivals.filter { it >= begin }
+            }
+            arrivals to responses
+        }
+
     /**
      * Guards against gateways that together send a replica more than it has said that it takes, and against leaving
      * unused what it takes while requests are refused.
@@ -100,41 +116,34 @@
     @Test
     fun keepsTheFleetWithinTheRatesThatReplicasName() {
         val cases = listOf(
-            Triple("one of three replicas", listOf(3.0, null, null), 40.milliseconds),
-            Triple("all replicas", listOf(2.0, 3.0, 6.0), 40.milliseconds),
+            Case("one of three replicas", listOf(3.0, null, null)),
+            Case("all replicas", listOf(2.0, 3.0, 6.0)),
         )
-        cases.forEach { (name, rates, interval) ->
-            LimitedFleet(gateways = 4, rates.size).use { fleet ->
-                fleet.replicas.zip(rates).forEach { (replica, rate) -> replica.rateText = rate?.toString() }
-                fleet.sendFor(LEARNING_TIME, interval)
-                val begins = fleet.replicas.map { it.now }
-                val responses = fleet.sendFor(MEASURED_TIME, interval)
-                val statuses = responses.map { LimitedFleet.statusOf(it) }
-                fleet.replicas.indices.forEach { index ->
-                    val rate = rates[index] ?: return@forEach
-                    val arrivals = fleet.replicas[index].arrivals
-                    val most = mostInWindow(arrivals, begins[index])
-                    val allowed = rate * WINDOW.inWholeSeconds + SMALL_BURST
-                    assertTrue(most <= allowed, "$name: replica $index with $rate/s got $most in $WINDOW of $allowed")
-                    if (null in rates) return@forEach
-                    val used = arrivals.count { it >= begins[index] } / (rate * MEASURED_TIME.inWholeSeconds)
-                    assertTrue(used >= MIN_USED_SHARE, "$name: replica $index with $rate/s, used share $used")
-                }
-                if (null in rates) {
-                    assertEquals(setOf(LimitedFleet.OK), statuses.toSet(), "$name: other replicas serve the rest")
-                } else {
-                    assertEquals(setOf(LimitedFleet.OK, UNAVAILABLE), statuses.toSet(), "$name: statuses")
-                    val refused = responses.filter { LimitedFleet.statusOf(it) == UNAVAILABLE }
-                    assertTrue(refused.all { "retry-after:" in it.lowercase() }, "$name: time to return")
-                }
-            }
+        cases.forEach { case ->
+            val (arrivals, responses) = play(case)
+            case.rates.zip(arrivals).forEach { (rate, times) -> rate?.let { assertWithinRate(case, it, times) } }
+            val statuses = responses.map { LimitedFleet.statusOf(it) }.toSet()
+            val expected = if (case.isAnyUnlimited) setOf(LimitedFleet.OK) else setOf(LimitedFleet.OK, UNAVAILABLE)
+            assertEquals(expected, statuses, "${case.name}: statuses")
+            val refused = responses.filter { LimitedFleet.statusOf(it) == UNAVAILABLE }
+            assertTrue(refused.all { "retry-after:" in it.lowercase() }, "${case.name}: time to return")
         }
     }
 
+    private fun assertWithinRate(case: Case, rate: Double, arrivals: List<Duration>) {
+        val most = mostInWindow(arrivals)
+        val allowed = rate * WINDOW.inWholeSeconds + SMALL_BURST
+        assertTrue(most <= allowed, "${case.name}: a replica with $rate/s got $most in $WINDOW of $allowed")
+        val usedShare = arrivals.size / (rate * MEASURED_TIME.inWholeSeconds)
+        assertTrue(case.isAnyUnlimited || usedShare >= MIN_USED_SHARE, "${case.name}: $usedShare of $rate/s used")
+    }
+
     private companion object {
+        const val GATEWAYS = 4
         const val UNAVAILABLE = 503
         const val SMALL_BURST = 4
         const val MIN_USED_SHARE = 0.8
+        val REQUEST_INTERVAL = 40.milliseconds
         val WINDOW = 4.seconds
 
         /** Time within which gateways must have heard of a rate and act on it. */
