Revisions carry the store's era, and gateways log it

The lines could not tell a store that had returned from an older copy from one that was silent. Each revision now has the era that its response states; a gateway logs when the era rises, and both positions of a view that is replaced across eras. Comparisons still look at the number alone.

--- a/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
+++ b/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
@@ -6,16 +6,33 @@
 import kotlin.time.Duration
 
 /**
- * Position in the store's history, which increases with every change of any object.
+ * Number of times that the store has returned from an older copy of itself. Revision numbers are given out again then.
  *
- * @property number the revision number; 0 precedes all changes
+ * @property number the number, 0 if the store does not tell
  */
 @JvmInline
-public value class Revision(public val number: Long) : Comparable<Revision> {
-    override fun compareTo(other: Revision): Int = number.compareTo(other.number)
+public value class StoreEra(public val number: Long) : Comparable<StoreEra> {
+    override fun compareTo(other: StoreEra): Int = number.compareTo(other.number)
 
     override fun toString(): String = number.toString()
 
+    /** Holds the era of a store that does not tell. */
+    public companion object {
+        /** The era of a store that does not tell. */
+        public val UNKNOWN: StoreEra = StoreEra(0)
+    }
+}
+
+/**
+ * Position in the store's history, which increases with every change of any object.
+ *
+ * @property number the revision number; 0 precedes all changes
+ * @property era the era in which the number was read
+ */
+public data class Revision(public val number: Long, public val era: StoreEra = StoreEra.UNKNOWN) :
+    Comparable<Revision> {
+    override fun compareTo(other: Revision): Int = number.compareTo(other.number)
+
     /** Holds the initial revision. */
     public companion object {
         /** The revision before all changes. */
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/EraTrackingStore.kt
@@ -0,0 +1,64 @@
+package org.guavapath.daemon.gateway
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.serialization.json.JsonElement
+import org.guavapath.core.store.Listing
+import org.guavapath.core.store.ObjectKind
+import org.guavapath.core.store.ObjectStore
+import org.guavapath.core.store.Revision
+import org.guavapath.core.store.StoreEra
+import org.guavapath.core.store.StoreError
+import org.guavapath.core.store.StoredObject
+import org.guavapath.core.store.WatchResult
+import kotlin.time.Duration
+
+/** Passes all calls to [store] and keeps the newest era that its responses state. */
+internal class EraTrackingStore(private val store: ObjectStore, private val log: GatewayLog) : ObjectStore {
+    private val newest = MutableStateFlow(StoreEra.UNKNOWN)
+
+    /** The newest era that any call has seen. */
+    val era: StateFlow<StoreEra> = newest.asStateFlow()
+
+    override suspend fun list(kind: ObjectKind): Result<Listing, StoreError> =
+        tracked(store.list(kind)) { it.asOf }
+
+    override suspend fun watch(kind: ObjectKind, after: Revision, timeout: Duration): Result<WatchResult, StoreError> =
+        tracked(store.watch(kind, after, timeout)) { (it as? WatchResult.Changes)?.asOf }
+
+    override suspend fun read(kind: ObjectKind, name: String): Result<StoredObject?, StoreError> =
+        tracked(store.read(kind, name)) { it?.revision }
+
+    override suspend fun create(kind: ObjectKind, name: String, value: JsonElement): Result<StoredObject, StoreError> =
+        tracked(store.create(kind, name, value)) { it.revision }
+
+    override suspend fun replace(
+        kind: ObjectKind,
+        name: String,
+        value: JsonElement,
+        condition: Revision,
+    ): Result<StoredObject, StoreError> = tracked(store.replace(kind, name, value, condition)) { it.revision }
+
+    override suspend fun remove(kind: ObjectKind, name: String, condition: Revision): Result<Unit, StoreError> =
+        tracked(store.remove(kind, name, condition)) { null }
+
+    private inline fun <T> tracked(result: Result<T, StoreError>, revisionOf: (T) -> Revision?): Result<T, StoreError> =
+        result.onSuccess { value -> revisionOf(value)?.let { seen(it) } }
+            .onFailure { error -> (error as? StoreError.Conflict)?.present?.let { seen(it.revision) } }
+
+    private fun seen(revision: Revision) {
+        val before = newest.value
+        if (revision.era <= before) return
+        newest.value = revision.era
+        log.stateChange(
+            if (before == StoreEra.UNKNOWN) "store era" else "store restored",
+            "era" to revision.era.number,
+            "former" to before.number.takeIf { it > 0 },
+            "revision" to revision.number,
+        )
+    }
+}
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -29,7 +29,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** One gateway. Its state is confined to one event loop. */
-internal class Gateway(private val settings: GatewaySettings, private val store: ObjectStore) :
+internal class Gateway(private val settings: GatewaySettings, objectStore: ObjectStore) :
     PeerReceiver,
     ExchangeHost {
     private val incarnation = Incarnation(System.currentTimeMillis())
@@ -37,6 +37,7 @@
     private val loop = group.next() as EventLoop
     private val telemetry = GatewayTelemetry(GatewayLog(), GatewayMetrics())
     private val log = telemetry.log
+    private val store = EraTrackingStore(objectStore, log)
     private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher() + log.taskFailures())
     private val fleet = FleetState(settings.failureDomain, MonotonicTime.now(), settings.isFirstStart)
     private val operator = OperatorState(fleet, log)
@@ -89,6 +90,7 @@
             "settings" to settings.copy(peerSecrets = emptyList()).toString()
         )
         telemetry.metrics.registerGauges(pool, operator, fleet)
+        telemetry.metrics.gauge("guavapath.gateway.store.era") { store.era.value.number }
         viewExchange.refresh()
         views.forEach { scope.launch { it.follow() } }
         scope.launch { peers.start(scope, this@Gateway) }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
@@ -44,7 +44,8 @@
         gauge("guavapath.gateway.quarantined.prompts") { fleet.quarantine.quarantined.size }
     }
 
-    private fun gauge(name: String, read: () -> Number) {
+    /** Registers a gauge that reads its value at each scrape. */
+    fun gauge(name: String, read: () -> Number) {
         Gauge.builder(name, read).register(registry)
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -101,7 +101,12 @@
     private suspend fun watched(result: WatchResult) {
         when (result) {
             is WatchResult.HistoryGone -> {
-                log.stateChange("history gone", "kind" to kind.text, "revision" to asOf.number)
+                log.stateChange(
+                    "history gone",
+                    "kind" to kind.text,
+                    "revision" to asOf.number,
+                    "era" to asOf.era.number,
+                )
                 list()
             }
             is WatchResult.Changes -> if (result.asOf > asOf) {
@@ -114,6 +119,16 @@
     }
 
     private fun replace(listing: Listing) {
+        if (listing.asOf.era != asOf.era && asOf != Revision.NONE) {
+            log.stateChange(
+                "view replaced",
+                "kind" to kind.text,
+                "revision" to listing.asOf.number,
+                "era" to listing.asOf.era.number,
+                "formerRevision" to asOf.number,
+                "formerEra" to asOf.era.number,
+            )
+        }
         val isChanged = listing.objects != held || asOf == Revision.NONE
         held.clear()
         held.putAll(listing.objects)
