Copies of the store follow it when it returns from an older copy

Cause: positions of former and later eras were compared by their numbers. A listing of the returned store was taken for an old one and listed again at once, 70 times a second on each gateway; a watch that went on from a number given out again missed all changes up to it. The class of fault is a version that is compared outside the history that it counts.

Change: a revision is ordered by its era and then by its number, so that each comparison is right as it stands. A view lists again when any call shows a later era, and after a failure, where a watch could wait 20 s before it told that the store was back (views of weights and gateways counted as unavailable until second 37). Hubs send members the new copy at once. Messages with revisions carry their era in an envelope that links of version 2 receive without it; a gateway that reads a store which has returned does not trust revisions without an era.

What the operator has written is kept by the operator's own numbers: a copy that lacks it takes nothing back, gateways tell each other at each new link and when the store returns, and one that starts in between learns it.

Ruled out: dropping the copy when a watch is refused (a watch from a number given out again is not refused); listing every second (calls are limited and priced).

--- a/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
+++ b/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
@@ -24,14 +24,14 @@
 }
 
 /**
- * Position in the store's history, which increases with every change of any object.
+ * Position in the store's history, which increases with every change of any object, and with each era.
  *
  * @property number the revision number; 0 precedes all changes
  * @property era the era in which the number was read
  */
 public data class Revision(public val number: Long, public val era: StoreEra = StoreEra.UNKNOWN) :
     Comparable<Revision> {
-    override fun compareTo(other: Revision): Int = number.compareTo(other.number)
+    override fun compareTo(other: Revision): Int = compareValuesBy(this, other, { it.era }, { it.number })
 
     /** Holds the initial revision. */
     public companion object {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/EraTrackingStore.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/EraTrackingStore.kt
@@ -15,6 +15,7 @@
 import org.guavapath.core.store.StoreError
 import org.guavapath.core.store.StoredObject
 import org.guavapath.core.store.WatchResult
+import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration
 
 /** Passes all calls to [store] and keeps the newest era that its responses state. */
@@ -24,6 +25,10 @@
     /** The newest era that any call has seen. */
     val era: StateFlow<StoreEra> = newest.asStateFlow()
 
+    /** When the store was last seen to have returned from an older copy, null if never. */
+    var restoredAt: MonotonicTime? = null
+        private set
+
     override suspend fun list(kind: ObjectKind): Result<Listing, StoreError> =
         tracked(store.list(kind)) { it.asOf }
 
@@ -53,6 +58,7 @@
     private fun seen(revision: Revision) {
         val before = newest.value
         if (revision.era <= before) return
+        if (before != StoreEra.UNKNOWN) restoredAt = MonotonicTime.now()
         newest.value = revision.era
         log.stateChange(
             if (before == StoreEra.UNKNOWN) "store era" else "store restored",
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -17,6 +17,7 @@
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.store.Revision
+import org.guavapath.core.store.StoreEra
 import org.guavapath.core.throttling.RateArbitration
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.peers.PeerHandshake
@@ -58,9 +59,10 @@
         membersView,
     )
     private val liveness = PeerLiveness()
-    private val viewExchange = ViewExchange(views, peers, topology)
+    private val viewExchange = ViewExchange(views, peers, topology, store)
     private val lease = RolloutLease(settings.vm, incarnation, store, log)
     private val exchange = PeerExchange(settings.vm, viewExchange, peers, topology, liveness, lease)
+    private val operatorExchange = OperatorExchange(operator, exchange, store)
     private val storedCrashes = StoredCrashReports(store, settings.isFirstStart, log)
     override val quarantine = QuarantineTask(fleet, exchange, storedCrashes, log)
     private val arbitration = RateArbitration(settings.vm)
@@ -106,8 +108,9 @@
         scope.launch { quarantine.run(scope) }
         scope.launch { namedRates.run(scope) }
         scope.launch { permits.run() }
+        scope.launch { operatorExchange.run() }
         callerListener = CallerHttpServer(group, admission).start(SocketAddress.of(settings.callers))
-        ReadinessServer(group, ::isReady, telemetry.metrics::text).start(SocketAddress.of(settings.readiness))
+        ReadinessServer(group, { isReady }, telemetry.metrics::text).start(SocketAddress.of(settings.readiness))
     }
 
     /** Stops accepting connections, waits for running requests up to the drain limit and leaves the fleet. */
@@ -125,7 +128,10 @@
 
     override suspend fun received(from: VmId, message: PeerMessage) {
         when (message) {
-            is PeerMessage.FleetStatus -> exchange.statusReceived(from, message, fleet)
+            is PeerMessage.OfEra -> viewsReceived(from, message.message, StoreEra(message.era))
+            is PeerMessage.FleetStatus, is PeerMessage.ViewContent, is PeerMessage.ViewChanged ->
+                viewsReceived(from, message, era = null)
+            is PeerMessage.OperatorTold -> operatorExchange.received(from, message)
             is PeerMessage.UsageTold -> {
                 exchange.usageReceived(from, message, fleet)
                 if (fleet.quota.isHub) publisher.scheduleUpdates()
@@ -136,8 +142,6 @@
                 if (fleet.quota.isHub) publisher.scheduleUpdates()
             }
             is PeerMessage.ViewWanted -> viewExchange.share(from, message)
-            is PeerMessage.ViewContent -> viewExchange.adopt(from, message)
-            is PeerMessage.ViewChanged -> viewExchange.adopt(from, message)
             is PeerMessage.PromptCrashes -> quarantine.received(from, message)
             is PeerMessage.OfRates -> permits.received(from, message)
             is PeerMessage.OfRollout -> {
@@ -148,10 +152,19 @@
         }
     }
 
+    /** Applies a message with revisions of [era], null if the sender does not tell. */
+    private fun viewsReceived(from: VmId, message: PeerMessage, era: StoreEra?) = when (message) {
+        is PeerMessage.FleetStatus -> exchange.statusReceived(from, message, era, fleet)
+        is PeerMessage.ViewContent -> viewExchange.adopt(from, message, era)
+        is PeerMessage.ViewChanged -> viewExchange.adopt(from, message, era)
+        else -> Unit
+    }
+
     override suspend fun linked(peer: VmId) {
         log.stateChange("peer linked", "peer" to peer.text)
         quarantine.linked(peer)
         namedRates.linked(peer)
+        operatorExchange.linked(peer)
     }
 
     /**
@@ -164,8 +177,8 @@
         while (admission.closeIdle() > 0) delay(DRAIN_POLL_INTERVAL)
     }
 
-    private fun isReady(): Boolean =
-        !admission.isDraining && operator.configuration != null && fleet.replicas.all.isNotEmpty()
+    private val isReady: Boolean
+        get() = !admission.isDraining && operator.configuration != null && fleet.replicas.all.isNotEmpty()
 
     private fun replicasChanged(view: StoreView) {
         if (!replicas.update(view)) return
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
@@ -4,55 +4,81 @@
 import com.github.michaelbull.result.getOrElse
 import org.guavapath.core.fleet.FleetConfiguration
 import org.guavapath.core.results.Invariant
+import org.guavapath.core.store.StoredObject
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.platform.wire.ConfigurationCodec
 import org.guavapath.platform.wire.ReplicaCodec
 
-/** State that the platform's operator controls: the configuration in force and the target weights. */
+/**
+ * State that the platform's operator controls: the configuration in force and the target weights.
+ *
+ * Both only become newer, by the numbers that the operator gave them, whatever the store holds: it may return from an
+ * older copy.
+ */
 internal class OperatorState(private val fleet: FleetState, private val log: GatewayLog) {
+    private val newestWeights = HashMap<String, StoredObject>()
+
     /** The configuration in force, null before the first. */
     var configuration: FleetConfiguration? = null
         private set
 
+    /** The object with the configuration in force, null before the first. */
+    var storedConfiguration: StoredObject? = null
+        private set
+
+    /** The objects with the target weights, by name. */
+    val storedWeights: Map<String, StoredObject> get() = newestWeights
+
     /** Applies the configuration in [view] if it is newer. */
     fun updateConfiguration(view: StoreView) {
-        val stored = view.objects[MAIN_CONFIGURATION] ?: return
-        ConfigurationCodec.decode(stored.value).fold(
-            success = { adopt(it) },
-            failure = { log.stateChange("configuration ignored", "revision" to stored.revision.number, "error" to it) },
-        )
+        view.objects[CONFIGURATION]?.let { offerConfiguration(it) }
     }
 
-    /** Applies the target weights in [view]. */
-    fun updateWeights(view: StoreView) {
-        val now = MonotonicTime.now()
-        view.objects.values.forEach { stored ->
-            val targetWeights = ReplicaCodec.targetWeights(stored.value).getOrElse {
-                log.stateChange("weights naming ignored", "name" to stored.name, "error" to it)
-                null
-            }
-            if (targetWeights != null && fleet.weights.setTarget(targetWeights.model, targetWeights.number, now)) {
-                log.stateChange(
-                    "weights named",
-                    "model" to targetWeights.model.text,
-                    "weights" to targetWeights.number.number,
-                )
-            }
+    /** Applies the target weights in [view] that are newer. */
+    fun updateWeights(view: StoreView) = view.objects.values.forEach { offerWeights(it) }
+
+    /** Applies the configuration in [stored] if it is newer; returns whether it is. */
+    fun offerConfiguration(stored: StoredObject): Boolean = ConfigurationCodec.decode(stored.value).fold(
+        success = { adopt(it, stored) },
+        failure = {
+            log.stateChange("configuration ignored", "revision" to stored.revision.number, "error" to it)
+            false
+        },
+    )
+
+    /** Applies the target weights in [stored] if they are newer; returns whether they are. */
+    fun offerWeights(stored: StoredObject): Boolean {
+        val targetWeights = ReplicaCodec.targetWeights(stored.value).getOrElse {
+            log.stateChange("weights naming ignored", "name" to stored.name, "error" to it)
+            null
+        } ?: return false
+        val isNewer = fleet.weights.setTarget(targetWeights.model, targetWeights.number, MonotonicTime.now())
+        if (isNewer) {
+            newestWeights[stored.name] = stored
+            log.stateChange(
+                "weights named",
+                "model" to targetWeights.model.text,
+                "weights" to targetWeights.number.number,
+            )
         }
+        return isNewer
     }
 
-    private fun adopt(next: FleetConfiguration) {
+    private fun adopt(next: FleetConfiguration, stored: StoredObject): Boolean {
         val before = configuration
-        if (before != null && next.version <= before.version) return
+        if (before != null && next.version <= before.version) return false
         Invariant.check("fleet-configuration-never-reverts", before == null || next.version > before.version) {
             "${next.version} after ${before?.version}"
         }
         configuration = next
+        storedConfiguration = stored
         fleet.quota.configure(next.workspaces.orEmpty(), MonotonicTime.now())
         log.stateChange("configuration in force", "version" to next.version.number, "former" to before?.version?.number)
+        return true
     }
 
-    private companion object {
-        const val MAIN_CONFIGURATION = "main"
+    companion object {
+        /** Name of the object with the configuration. */
+        const val CONFIGURATION = "main"
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
@@ -8,6 +8,7 @@
 import org.guavapath.core.placement.ReplicaLoad
 import org.guavapath.core.quota.UsageReport
 import org.guavapath.core.routing.BlockHash
+import org.guavapath.core.store.StoreEra
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.peers.PeerMessage
 import org.guavapath.daemon.peers.PeerSender
@@ -26,21 +27,23 @@
     /** The holder of the rollout lease as far as this gateway knows. */
     val rolloutHolder: PeerMessage.RolloutHolder? get() = lease.knownHolder
 
-    private val statuses = HashMap<VmId, PeerMessage.FleetStatus>()
+    private class Received(val status: PeerMessage.FleetStatus, val era: StoreEra?)
 
-    /** Applies the [status] of [from]. */
-    fun statusReceived(from: VmId, status: PeerMessage.FleetStatus, fleet: FleetState) {
+    private val statuses = HashMap<VmId, Received>()
+
+    /** Applies the [status] of [from]; its revisions are of [era], null if that is not known. */
+    fun statusReceived(from: VmId, status: PeerMessage.FleetStatus, era: StoreEra?, fleet: FleetState) {
         liveness.messageReceived(from)
         lease.holderReceived(status.rollout)
         if (!topology.acceptsFrom(from)) return
         topology.statusReceived(from, status.isHub, status.vms)
         val now = MonotonicTime.now()
-        statuses[from] = status
+        statuses[from] = Received(status, era)
         fleet.quota.receiveReport(from, usage(from, status.incarnation, status.usage, status.vms), now)
         status.loads.forEach { (replica, load) ->
             fleet.replicas[ReplicaId(replica)]?.receiveReport(from, ReplicaLoad(load.promptTokens, load.requests), now)
         }
-        views.statusReceived(from, status.views, status.isServedByStore)
+        views.statusReceived(from, status.views, era, status.isServedByStore)
     }
 
     /** Applies a usage update that [from] published between two statuses. */
@@ -91,9 +94,10 @@
 
     /** Whether [vm] may hold the lease. One without a change that this one has may have lost the store unnoticed. */
     private fun isEligible(vm: VmId): Boolean {
-        val status = statuses[vm]
+        val received = statuses[vm]
+        val status = received?.status
         return liveness.isAlive(vm) && status != null && status.isHub && status.isServedByStore &&
-            views.isUpToDate(StoreKinds.WEIGHTS, status.views)
+            views.isUpToDate(StoreKinds.WEIGHTS, status.views, received.era)
     }
 
     /** Whether the store responds to this gateway. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerPublisher.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerPublisher.kt
@@ -32,7 +32,7 @@
             delay(INTERVAL)
             val next = statusForEquals()
             unchangedIntervals = if (next == last) unchangedIntervals + 1 else 0
-            if (unchangedIntervals % UNCHANGED_INTERVALS == 0) topology.equalPeers.forEach { peers.send(it, next) }
+            if (unchangedIntervals % UNCHANGED_INTERVALS == 0) topology.equalPeers.forEach { sendStatus(it, next) }
             publishStatusToMembers()
             last = next
         }
@@ -81,9 +81,12 @@
 
     private fun publishStatusToMembers() {
         val vms = topology.vmsReportedToMembers
-        topology.members.forEach { peers.send(it, status(vms, fleet.quota.usageTotals(it), except = setOf(it))) }
+        topology.members.forEach { sendStatus(it, status(vms, fleet.quota.usageTotals(it), except = setOf(it))) }
     }
 
+    private fun sendStatus(to: VmId, status: PeerMessage.FleetStatus) =
+        peers.send(to, PeerMessage.OfEra(views.era.number, status))
+
     /** Returns a status with the loads that all VMs but [except] have reported. */
     private fun status(vms: Int, usage: Map<WorkspaceName, Long>, except: Set<VmId>): PeerMessage.FleetStatus {
         val now = MonotonicTime.now()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreHealth.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreHealth.kt
@@ -12,6 +12,9 @@
     var recoveredAt = MonotonicTime.ZERO
         private set
 
+    /** Whether the last call failed. */
+    val isFailing: Boolean get() = failingSince != null
+
     /** Whether the store responds; short failures, such as a reconnected watch, are ignored. */
     val isStoreAvailable: Boolean get() = failingSince.let { it == null || MonotonicTime.now() - it < OUTAGE_THRESHOLD }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -1,12 +1,18 @@
 package org.guavapath.daemon.gateway
 
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.filter
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.map
+import kotlinx.coroutines.flow.merge
 import org.guavapath.core.store.Listing
 import org.guavapath.core.store.ObjectKind
-import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.store.Revision
 import org.guavapath.core.store.StoreError
 import org.guavapath.core.store.StoredObject
@@ -18,7 +24,8 @@
 /**
  * This VM's copy of the store's objects of one kind.
  *
- * It is listed once and watched from then on; it is listed again when the store has dropped the history.
+ * It is listed once and watched from then on. It is listed again when the store has dropped the history, has failed or
+ * has returned from an older copy, as revisions of former eras tell nothing about the history of this one.
  * A gateway that follows a hub makes no calls, as the hub sends the changes. Other gateways may send a newer copy at
  * any time. The copy never goes back to an older revision.
  *
@@ -27,7 +34,7 @@
  */
 internal class StoreView(
     val kind: ObjectKind,
-    private val store: ObjectStore,
+    private val store: EraTrackingStore,
     private val log: GatewayLog,
     private val delayBetweenWatches: Duration = DEFAULT_DELAY,
     private val onChange: (StoreView) -> Unit,
@@ -54,6 +61,9 @@
     var newestChange = Revision.NONE
         private set
 
+    /** Called when the copy was replaced by one of a later era. */
+    var onRestored: () -> Unit = {}
+
     /** Whether there is a copy and the store responds. */
     val isAvailable: Boolean get() = asOf > Revision.NONE && health.isStoreAvailable
 
@@ -62,7 +72,7 @@
         while (true) {
             when {
                 !isReading.value -> isReading.first { it }
-                asOf == Revision.NONE -> list()
+                asOf == Revision.NONE || asOf.era < store.era.value || health.isFailing -> list()
                 else -> watch()
             }
         }
@@ -85,18 +95,24 @@
     private suspend fun list() = store.list(kind).fold(
         success = {
             health.succeeded()
-            if (it.asOf >= asOf) replace(it)
+            if (it.asOf >= asOf) replace(it) else delay(RETRY_DELAY)
         },
         failure = { failed(it) },
     )
 
-    private suspend fun watch() = store.watch(kind, asOf, WATCH_TIMEOUT).fold(
-        success = {
-            health.succeeded()
-            watched(it)
-        },
-        failure = { failed(it) },
-    )
+    /** Watches until there are changes, the time is over, or another call shows that the store has a later era. */
+    private suspend fun watch() {
+        val era = asOf.era
+        val laterEra: Flow<Result<WatchResult, StoreError>> =
+            store.era.filter { it > era }.map { Ok(WatchResult.HistoryGone) }
+        merge(flow { emit(store.watch(kind, asOf, WATCH_TIMEOUT)) }, laterEra).first().fold(
+            success = {
+                health.succeeded()
+                watched(it)
+            },
+            failure = { failed(it) },
+        )
+    }
 
     private suspend fun watched(result: WatchResult) {
         when (result) {
@@ -109,7 +125,7 @@
                 )
                 list()
             }
-            is WatchResult.Changes -> if (result.asOf > asOf) {
+            is WatchResult.Changes -> if (result.asOf > asOf && result.asOf.era == asOf.era) {
                 val before = asOf
                 apply(result)
                 onWatched(before, result)
@@ -119,7 +135,8 @@
     }
 
     private fun replace(listing: Listing) {
-        if (listing.asOf.era != asOf.era && asOf != Revision.NONE) {
+        val isRestored = listing.asOf.era != asOf.era && asOf != Revision.NONE
+        if (isRestored) {
             log.stateChange(
                 "view replaced",
                 "kind" to kind.text,
@@ -135,6 +152,7 @@
         asOf = listing.asOf
         newestChange = listing.objects.values.maxOfOrNull { it.revision } ?: newestChange
         if (isChanged) onChange(this)
+        if (isRestored) onRestored()
     }
 
     private fun apply(result: WatchResult.Changes) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerLink.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerLink.kt
@@ -32,7 +32,7 @@
 
     /** Queues [message]; it is dropped if the queue is full or the peer does not understand it. */
     fun send(message: PeerMessage) {
-        if (message.sinceVersion <= version) queue.trySend(message)
+        message.forVersion(version)?.let { queue.trySend(it) }
     }
 
     /** Runs the link until it fails or times out; passes messages other than heartbeats to [receiver]. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -26,6 +26,9 @@
     /** Protocol version since which daemons understand the message. */
     open val sinceVersion: Int get() = PROTOCOL_VERSION
 
+    /** Returns the message as daemons of [version] understand it, null if they do not. */
+    open fun forVersion(version: Int): PeerMessage? = takeIf { sinceVersion <= version }
+
     /**
      * First message of each end: its identity and a random challenge.
      *
@@ -144,6 +147,34 @@
     @Serializable
     data class SharedChange(val name: String, val revision: Long, val present: SharedObject?)
 
+    /**
+     * A [message] with revisions of the store, which are of [era].
+     *
+     * Daemons of version 2 receive [message] alone, as they know of no eras.
+     */
+    @Serializable
+    data class OfEra(val era: Long, val message: OfFleet) : OfFleet() {
+        override val sinceVersion: Int get() = HIGHEST_PROTOCOL_VERSION
+
+        override fun forVersion(version: Int): PeerMessage? = super.forVersion(version) ?: message.forVersion(version)
+    }
+
+    /**
+     * What the operator has written, as far as the sender knows; independent of the store's revisions.
+     *
+     * @property configuration the newest configuration, null if there is none
+     * @property weights the newest target weights by object name
+     * @property isGreeting whether the link is new, so that the receiver answers with what it knows
+     */
+    @Serializable
+    data class OperatorTold(
+        val configuration: SharedObject?,
+        val weights: Map<String, SharedObject>,
+        val isGreeting: Boolean,
+    ) : OfFleet() {
+        override val sinceVersion: Int get() = HIGHEST_PROTOCOL_VERSION
+    }
+
     /** A stored object, with its value as JSON text. */
     @Serializable
     data class SharedObject(val revision: Long, val json: String)
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreRestoreTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreRestoreTest.kt
@@ -63,7 +63,7 @@
 
     private fun versionAt(port: Int): Int = runCatching {
         Socket("127.0.0.1", port).use { socket ->
-            socket.getOutputStream().write("GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n".toByteArray())
+            socket.getOutputStream().write(METRICS_REQUEST.toByteArray())
             socket.getInputStream().bufferedReader().lineSequence()
                 .first { it.startsWith("guavapath_gateway_configuration_version ") }
                 .substringAfter(' ').toDouble().toInt()
@@ -71,6 +71,7 @@
     }.getOrDefault(0)
 
     private companion object {
+        const val METRICS_REQUEST = "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
         val START_TIMEOUT = 20.seconds
         val LINK_TIME = 2.seconds
         val POLL = 20.milliseconds
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
@@ -39,7 +39,7 @@
     }
 
     private val store = DownStore()
-    private val view = StoreView(ObjectKind("kind"), store, GatewayLog()) {}
+    private val view = StoreView(ObjectKind("kind"), EraTrackingStore(store, GatewayLog()), GatewayLog()) {}
 
     private fun stored(name: String, revision: Long) = StoredObject(name, Revision(revision), JsonPrimitive(revision))
 
