Fencing tokens rise across eras of the store

A store that returns from an older copy may lack the last holders of the rollout lease. The next holder then took a token that another one had used: two gateways with one fencing token, or a lower one that replicas refuse, so that new weights did not reach them.

A token's upper bits are now the era in which the lease was taken. A lease is taken anew in each era, confirmed only in the era of its token, and used after the time of a handover unless the fleet has never had a holder.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -60,7 +60,7 @@
     )
     private val liveness = PeerLiveness()
     private val viewExchange = ViewExchange(views, peers, topology, store)
-    private val lease = RolloutLease(settings.vm, incarnation, store, log)
+    private val lease = RolloutLease(settings.vm, incarnation, store, settings.isFirstStart, log)
     private val exchange = PeerExchange(settings.vm, viewExchange, peers, topology, liveness, lease)
     private val operatorExchange = OperatorExchange(operator, exchange, store)
     private val storedCrashes = StoredCrashReports(store, settings.isFirstStart, log)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
@@ -9,10 +9,11 @@
 import org.guavapath.core.identity.Incarnation
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.store.ObjectKind
-import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.store.Revision
+import org.guavapath.core.store.StoreEra
 import org.guavapath.core.store.StoredObject
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.core.weights.FencingToken
 import org.guavapath.daemon.peers.PeerMessage
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -27,11 +28,17 @@
  * The lease does not expire by itself: another gateway takes it over with a higher fencing token. The former holder
  * notices when it confirms its token, which it does shortly before each order. A confirmation is valid briefly and by
  * both the monotonic and the wall clock, so that a gateway that was frozen or suspended confirms again.
+ *
+ * A store that returns from an older copy may lack the last holders, or all of them. A lease is therefore taken anew in
+ * each era, with a token that is higher than all of former eras.
+ *
+ * @param isFirstStart whether the fleet starts for the first time, so that there was no holder before
  */
 internal class RolloutLease(
     private val self: VmId,
     private val incarnation: Incarnation,
-    private val store: ObjectStore,
+    private val store: EraTrackingStore,
+    private val isFirstStart: Boolean,
     private val log: GatewayLog,
 ) {
     /** A confirmation of the lease; its validity counts from the start of the store calls. */
@@ -90,7 +97,7 @@
             return
         }
         val record = stored?.let { decode(it) }
-        if (record?.vm == self && record.incarnation == incarnation) {
+        if (record != null && isHeldHere(record, stored.revision.era)) {
             knownHolder = PeerMessage.RolloutHolder(self, record.fencingToken)
             confirmation = newConfirmation
         } else {
@@ -98,9 +105,18 @@
         }
     }
 
+    /**
+     * Whether this gateway holds the lease [record]. One that was taken before [era] may have been taken over since, in
+     * a part of the store's history that is lost.
+     */
+    private fun isHeldHere(record: LeaseRecord, era: StoreEra) =
+        record.vm == self && record.incarnation == incarnation && FencingToken(record.fencingToken).era >= era
+
     private suspend fun takeOver(former: LeaseRecord?, revision: Revision?, newConfirmation: Confirmation) {
-        val next = LeaseRecord(self, incarnation, (former?.fencingToken ?: 0) + 1)
-        val value = Json.encodeToJsonElement(LeaseRecord.serializer(), next)
+        val highest = maxOf(former?.fencingToken ?: 0, knownHolder?.fencingToken ?: 0)
+        val token = FencingToken(highest).next(store.era.value)
+        val isFirst = former == null && knownHolder == null && isFirstStart
+        val value = Json.encodeToJsonElement(LeaseRecord.serializer(), LeaseRecord(self, incarnation, token.number))
         val written = if (revision == null) {
             store.create(LEASES, LEASE, value)
         } else {
@@ -108,10 +124,16 @@
         }
         written.fold(
             success = {
-                knownHolder = PeerMessage.RolloutHolder(self, next.fencingToken)
-                confirmation = newConfirmation
-                usableFrom = if (former == null) newConfirmation.at else newConfirmation.at + HANDOVER_DELAY
-                log.stateChange("rollout lease taken", "token" to next.fencingToken, "former" to former?.vm?.text)
+                knownHolder = PeerMessage.RolloutHolder(self, token.number)
+                // A lease that was written into a later era than that of its token has to be taken once more.
+                confirmation = newConfirmation.takeIf { _ -> token.era >= it.revision.era }
+                usableFrom = if (isFirst) newConfirmation.at else newConfirmation.at + HANDOVER_DELAY
+                log.stateChange(
+                    "rollout lease taken",
+                    "token" to token.number,
+                    "era" to token.era.number,
+                    "former" to former?.vm?.text,
+                )
             },
             failure = { log.stateChange("rollout lease not taken", "error" to it.toString()) },
         )
