What is known of replicas and gateways outlives a store that returns from an older copy

The copy lists replicas as they were: ready although they drain, present although they have left; and it lacks replicas and gateways that came since, until they write their entries again. A gateway now keeps to what it knew: a replica that drained drains, one that left stays out until its old entry has had time to expire, one that is missing is retained as after an outage. Entries of gateways that are missing are retained for 3 s, so that shares of rates do not grow and links are not closed; a gateway that leaves removes its entry at whatever revision it has now.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -43,7 +43,7 @@
     private val fleet = FleetState(settings.failureDomain, MonotonicTime.now(), settings.isFirstStart)
     private val operator = OperatorState(fleet, log)
     private val pool = ReplicaPool(loop)
-    private val replicas = ReplicaList(fleet, pool, log)
+    private val replicas = ReplicaList(fleet, pool, store, log)
     private val entry = MemberEntry(settings.peers, settings.failureDomain, settings.usableProcessors, incarnation)
     private val members = Members(settings.vm, entry, store, log)
     private val peers = PeerTask(
@@ -184,12 +184,19 @@
         if (!replicas.update(view)) return
         scope.launch {
             delay(ReplicaList.RECOVERY_GRACE_PERIOD)
-            replicas.update(view)
+            replicasChanged(view)
         }
     }
 
     private fun membersChanged() {
-        if (!members.update(membersView.objects, membersView.asOf)) return
+        val isChanged = members.update(membersView.objects, membersView.asOf)
+        if (members.isRetaining) {
+            scope.launch {
+                delay(Members.RESTORE_GRACE_PERIOD)
+                membersChanged()
+            }
+        }
+        if (!isChanged) return
         fleet.quota.setMembers(members.others.keys)
         log.stateChange("members", "others" to members.others.keys.map { it.text })
         planLinks()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
@@ -12,8 +12,10 @@
 import org.guavapath.core.store.ObjectKind
 import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.store.Revision
+import org.guavapath.core.store.StoreEra
 import org.guavapath.core.store.StoreError
 import org.guavapath.core.store.StoredObject
+import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -36,7 +38,8 @@
  * The gateways of the fleet. Each registers itself in the store.
  *
  * An entry stays until its gateway shuts down gracefully, or until another gateway removes it after a long silence.
- * A gateway whose own entry is missing writes it again.
+ * A gateway whose own entry is missing writes it again; where the store has returned from an older copy, entries that
+ * are missing are retained until their gateways have had time to do so.
  */
 internal class Members(
     private val self: VmId,
@@ -47,11 +50,16 @@
     private var isRegistered = false
     private var registeredAt = Revision.NONE
     private var isLeaving = false
+    private var era = StoreEra.UNKNOWN
+    private var restoredAt: MonotonicTime? = null
 
     /** The other registered gateways. */
     var others = emptyMap<VmId, MemberEntry>()
         private set
 
+    /** Whether missing entries are retained, so that another update is due after [RESTORE_GRACE_PERIOD]. */
+    val isRetaining: Boolean get() = restoredAt?.let { MonotonicTime.now() - it < RESTORE_GRACE_PERIOD } ?: false
+
     /** Gateways in the fleet, this one included. */
     val fleetSize: Int get() = others.size + 1
 
@@ -59,9 +67,12 @@
     fun update(objects: Map<String, StoredObject>, revision: Revision): Boolean {
         val ownEntry = objects[self.text]?.let { decode(it) }
         if (revision >= registeredAt) isRegistered = ownEntry == entry
-        val next = objects.filterKeys { it != self.text }
+        if (era != StoreEra.UNKNOWN && revision.era > era) restoredAt = MonotonicTime.now()
+        era = revision.era
+        val listed = objects.filterKeys { it != self.text }
             .mapNotNull { (name, stored) -> decode(stored)?.let { VmId(name) to it } }
             .toMap()
+        val next = if (isRetaining) others + listed else listed
         val isChanged = next != others
         others = next
         return isChanged
@@ -101,8 +112,11 @@
     suspend fun leave(current: () -> Map<String, StoredObject>) {
         isLeaving = true
         val stored = current()[self.text] ?: return
-        store.remove(KIND, self.text, stored.revision).getOrElse {
-            log.stateChange("member entry not removed", "error" to it.toString())
+        store.remove(KIND, self.text, stored.revision).getOrElse { error ->
+            val present = (error as? StoreError.Conflict)?.present
+            if (present == null || store.remove(KIND, self.text, present.revision).isErr) {
+                log.stateChange("member entry not removed", "error" to error.toString())
+            }
         }
     }
 
@@ -142,6 +156,9 @@
     companion object {
         /** Kind of the gateways' entries. */
         val KIND = ObjectKind("guavapath-gateways")
+
+        /** Gateways notice within a second that their entries are missing. */
+        val RESTORE_GRACE_PERIOD = 3.seconds
         private val REGISTRATION_INTERVAL = 500.milliseconds
         private val REMOVAL_INTERVAL = 5.seconds
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaList.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaList.kt
@@ -3,37 +3,67 @@
 import com.github.michaelbull.result.getOrElse
 import org.guavapath.core.fleet.Replica
 import org.guavapath.core.fleet.ReplicaId
+import org.guavapath.core.fleet.ReplicaIncarnation
 import org.guavapath.core.store.StoredObject
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.platform.wire.ReplicaCodec
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Applies the store's list of replicas to the fleet state.
  *
  * Entries expire while the store is unavailable and are written again soon after it recovers; entries that are
- * missing right after an outage are therefore retained for [RECOVERY_GRACE_PERIOD].
+ * missing right after an outage, or after the store has returned from an older copy, are therefore retained for
+ * [RECOVERY_GRACE_PERIOD]. The copy may also list replicas as they were before they drained or left; what was known of
+ * that holds for [STALE_COPY_PERIOD], within which the entries of replicas that are gone expire again.
  */
 internal class ReplicaList(
     private val fleet: FleetState,
     private val pool: ReplicaPool,
+    private val store: EraTrackingStore,
     private val log: GatewayLog,
 ) {
+    private val leftAt = HashMap<ReplicaIncarnation, MonotonicTime>()
     private var listed = emptyMap<ReplicaId, Replica>()
     private val decodeErrors = HashMap<String, String>()
 
-    /** Applies the entries of [view]; returns whether some are only retained, which calls for another update later. */
+    /** Applies the entries of [view]; returns whether some are held back, which calls for another update later. */
     fun update(view: StoreView): Boolean {
-        val present = view.objects.mapNotNull { (name, stored) -> decode(name, stored)?.let { it.id to it } }.toMap()
-        val isAfterOutage = !view.isAvailable || MonotonicTime.now() - view.health.recoveredAt < RECOVERY_GRACE_PERIOD
-        val kept = if (isAfterOutage) listed.filterKeys { it !in present && it.text !in view.objects } else emptyMap()
+        val now = MonotonicTime.now()
+        val decoded = view.objects.mapNotNull { (name, stored) -> decode(name, stored)?.let { it.id to it } }.toMap()
+        val present = if (isRestored(now, STALE_COPY_PERIOD)) withoutReturned(decoded) else decoded
+        val isAfterOutage = !view.isAvailable || now - view.health.recoveredAt < RECOVERY_GRACE_PERIOD ||
+            isRestored(now, RECOVERY_GRACE_PERIOD)
+        val kept = if (isAfterOutage) listed.filterKeys { it !in decoded && it.text !in view.objects } else emptyMap()
         logChanges(present + kept)
+        recordLeft(present + kept, now)
         listed = present + kept
         fleet.replicas.update(listed.values.toList()).forEach { lost ->
             fleet.directory.forget(lost)
             pool.drop(lost)
         }
-        return kept.isNotEmpty()
+        return kept.isNotEmpty() || present != decoded
+    }
+
+    private fun isRestored(now: MonotonicTime, within: Duration) = store.restoredAt?.let { now - it < within } ?: false
+
+    /** Returns [decoded] without replicas that had left before the store returned; those that drained still do. */
+    private fun withoutReturned(decoded: Map<ReplicaId, Replica>): Map<ReplicaId, Replica> {
+        val restoredAt = store.restoredAt ?: return decoded
+        return decoded.filterValues { replica -> leftAt[replica.incarnation].let { it == null || it > restoredAt } }
+            .mapValues { (id, replica) ->
+                val known = listed[id]?.takeIf { it.incarnation == replica.incarnation }
+                if (known?.isDraining == true) replica.copy(isDraining = true) else replica
+            }
+    }
+
+    private fun recordLeft(next: Map<ReplicaId, Replica>, now: MonotonicTime) {
+        leftAt.values.removeIf { now - it > LEFT_RETENTION }
+        listed.values.filter { next[it.id]?.incarnation != it.incarnation }
+            .forEach { leftAt.putIfAbsent(it.incarnation, now) }
+        next.values.forEach { leftAt.remove(it.incarnation) }
     }
 
     private fun decode(name: String, stored: StoredObject): Replica? = ReplicaCodec.entry(
@@ -60,5 +90,11 @@
     companion object {
         /** Live replicas are listed again within about two seconds of the store's recovery. */
         val RECOVERY_GRACE_PERIOD = 2200.milliseconds
+
+        /** Longer than three intervals at which replicas write their entries, after which silent ones are removed. */
+        private val STALE_COPY_PERIOD = 5.seconds
+
+        /** Older than any copy that the store returns from. */
+        private val LEFT_RETENTION = 60.seconds
     }
 }
--- /dev/null
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaListTest.kt
@@ -0,0 +1,90 @@
+package org.guavapath.daemon.gateway
+
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.runBlocking
+import org.guavapath.core.identity.FailureDomainName
+import org.guavapath.core.time.MonotonicTime
+import org.guavapath.platform.wire.SampleFleet
+import org.guavapath.platform.wire.StoreKinds
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class ReplicaListTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val log = GatewayLog()
+
+    @AfterTest
+    fun stop() {
+        group.shutdownGracefully()
+    }
+
+    /** One gateway's list of the replicas in a store. */
+    private inner class Gateway(private val memory: MemoryStore) {
+        private val fleet = FleetState(FailureDomainName("domain"), MonotonicTime.now(), isFirstStart = false)
+        private val store = EraTrackingStore(CountingStore(memory), log)
+        private val replicas = ReplicaList(fleet, ReplicaPool(group.next() as EventLoop), store, log)
+        private val view = StoreView(StoreKinds.REPLICAS, store, log) {}
+
+        /** Reads the store and returns the replicas that take requests. */
+        fun read(): Set<String> = runBlocking {
+            store.list(StoreKinds.REPLICAS)
+            view.adopt(memory.list(StoreKinds.REPLICAS), "store")
+            replicas.update(view)
+            fleet.replicas.all.map { it.entry }.filter { !it.isDraining }.map { it.id.text }.toSet()
+        }
+    }
+
+    /**
+     * Replicas of a store that returns from a copy.
+     *
+     * @property before changes that the copy lacks, by replica: whether it drains, or null if it leaves
+     * @property expected the replicas that take requests right after the return
+     */
+    private class Case(
+        val name: String,
+        val before: List<Pair<String, Boolean?>>,
+        val after: List<Pair<String, Boolean?>> = emptyList(),
+        val expected: Set<String>,
+    )
+
+    private fun MemoryStore.writeAll(changes: List<Pair<String, Boolean?>>) = changes.forEach { (name, isDraining) ->
+        write(StoreKinds.REPLICAS, name, isDraining?.let { SampleFleet.replicaEntry("127.0.0.1:1", 1, it) })
+    }
+
+    /** Guards against requests to replicas that an older copy of the store lists as they were before they left. */
+    @Test
+    fun replicasThatDrainedOrLeftStayOutWhenTheStoreReturns() {
+        val listed = setOf("one", "two")
+        val cases = listOf(
+            Case("nothing is lost", emptyList(), expected = listed),
+            Case("a replica that drains", listOf("two" to true), expected = setOf("one")),
+            Case("a replica that drained and left", listOf("two" to true, "two" to null), expected = setOf("one")),
+            Case("a replica that left without a word", listOf("two" to null), expected = setOf("one")),
+            Case("a replica that the copy lacks", listOf("three" to false), expected = listed + "three"),
+            Case(
+                "a replica that drains after the return",
+                before = emptyList(),
+                after = listOf("two" to true),
+                expected = setOf("one")
+            ),
+        )
+        cases.forEach { case ->
+            val memory = MemoryStore(SampleFleet("127.0.0.1:1"))
+            memory.writeAll(listed.map { it to false })
+            val gateway = Gateway(memory)
+            assertEquals(listed, gateway.read(), case.name)
+            val copied = memory.size
+            case.before.forEach {
+                memory.writeAll(listOf(it))
+                gateway.read()
+            }
+            memory.restore(copied)
+            gateway.read()
+            memory.writeAll(case.after)
+            assertEquals(case.expected, gateway.read(), case.name)
+        }
+    }
+}
