Crash reports are stored again when the store returns from an older copy

Reports are written when a crash is reported; a copy may lack the last ones, and gateways that start alone would not know them. The gateways that know a quarantine store their reports again when a later era is seen.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -49,6 +49,7 @@
         }
         scope.launch { stored.load { addStored(it) } }
         scope.launch { stored.keepSaved(addStored) }
+        scope.launch { stored.watchRestores { if (quarantine.quarantined.isNotEmpty()) stored.save() } }
         scope.launch {
             while (true) {
                 delay(REPEAT_INTERVAL)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoredCrashReports.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoredCrashReports.kt
@@ -3,11 +3,12 @@
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.drop
+import kotlinx.coroutines.flow.filter
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.guavapath.core.quarantine.CrashReport
 import org.guavapath.core.store.ObjectKind
-import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.store.StoreError
 import org.guavapath.core.store.StoredObject
 import org.guavapath.core.time.MonotonicTime
@@ -26,7 +27,7 @@
  * @property isFirstStart whether there can be no stored reports, as the fleet starts for the first time
  */
 internal class StoredCrashReports(
-    private val store: ObjectStore,
+    private val store: EraTrackingStore,
     private val isFirstStart: Boolean,
     private val log: GatewayLog,
 ) {
@@ -37,6 +38,10 @@
         requests.trySend(Unit)
     }
 
+    /** Calls [onRestored] each time the store has returned from an older copy, which may lack reports. */
+    suspend fun watchRestores(onRestored: () -> Unit) =
+        store.era.drop(1).filter { store.restoredAt != null }.collect { onRestored() }
+
     /** Passes the stored reports to [add], if there are any and the store responds. */
     suspend fun load(add: (List<CrashReport>) -> Unit) {
         if (isFirstStart) return
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
@@ -53,7 +53,7 @@
     private fun start(name: String, linked: () -> Set<VmId> = { emptySet() }): QuarantineTask {
         val vm = VmId(name)
         val fleet = FleetState(FailureDomainName("domain"), MonotonicTime.now(), isFirstStart = false)
-        val stored = StoredCrashReports(CountingStore(store), isFirstStart = false, log)
+        val stored = StoredCrashReports(EraTrackingStore(CountingStore(store), log), isFirstStart = false, log)
         val task = QuarantineTask(fleet, Links(vm, linked), stored, log)
         gateways[vm] = task
         scope.launch { task.run(scope) }
