Members of hubs learn of a later era of the store from other gateways

A member makes no calls to the store, so that it did not see that the store had returned from an older copy, and did not hold back what that copy lists. ReplicaListTest plays each case as a member too.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/EraTrackingStore.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/EraTrackingStore.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.serialization.json.JsonElement
+import org.guavapath.core.identity.VmId
 import org.guavapath.core.store.Listing
 import org.guavapath.core.store.ObjectKind
 import org.guavapath.core.store.ObjectStore
@@ -18,17 +19,20 @@
 import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration
 
-/** Passes all calls to [store] and keeps the newest era that its responses state. */
+/** Passes all calls to [store] and keeps the newest era that its responses, or other gateways, state. */
 internal class EraTrackingStore(private val store: ObjectStore, private val log: GatewayLog) : ObjectStore {
     private val newest = MutableStateFlow(StoreEra.UNKNOWN)
 
-    /** The newest era that any call has seen. */
+    /** The newest era that is known. */
     val era: StateFlow<StoreEra> = newest.asStateFlow()
 
     /** When the store was last seen to have returned from an older copy, null if never. */
     var restoredAt: MonotonicTime? = null
         private set
 
+    /** Records that the gateway [from] knows of [era]; a member of a hub makes no calls itself. */
+    fun told(era: StoreEra, from: VmId) = update(era, "from" to from.text)
+
     override suspend fun list(kind: ObjectKind): Result<Listing, StoreError> =
         tracked(store.list(kind)) { it.asOf }
 
@@ -55,16 +59,18 @@
         result.onSuccess { value -> revisionOf(value)?.let { seen(it) } }
             .onFailure { error -> (error as? StoreError.Conflict)?.present?.let { seen(it.revision) } }
 
-    private fun seen(revision: Revision) {
+    private fun seen(revision: Revision) = update(revision.era, "revision" to revision.number)
+
+    private fun update(era: StoreEra, source: Pair<String, Any>) {
         val before = newest.value
-        if (revision.era <= before) return
+        if (era <= before) return
         if (before != StoreEra.UNKNOWN) restoredAt = MonotonicTime.now()
-        newest.value = revision.era
+        newest.value = era
         log.stateChange(
             if (before == StoreEra.UNKNOWN) "store era" else "store restored",
-            "era" to revision.era.number,
+            "era" to era.number,
             "former" to before.number.takeIf { it > 0 },
-            "revision" to revision.number,
+            source,
         )
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ViewExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ViewExchange.kt
@@ -68,6 +68,7 @@
      */
     fun statusReceived(from: VmId, peerRevisions: Map<String, Long>, peerEra: StoreEra?, isAvailable: Boolean) {
         val now = MonotonicTime.now()
+        peerEra?.let { store.told(it, from) }
         views.filter { !it.isReading.value }.forEach {
             if (isAvailable) it.health.succeeded() else it.health.failed("store does not respond to hub ${from.text}")
         }
@@ -83,12 +84,14 @@
 
     /** Applies another gateway's copy of a kind, read in [peerEra], if it is newer. */
     fun adopt(from: VmId, content: PeerMessage.ViewContent, peerEra: StoreEra?) {
+        peerEra?.let { store.told(it, from) }
         val view = comparableView(content.kind, peerEra) ?: return
         view.adopt(SharedViewCodec.decode(content, peerEra ?: view.asOf.era), from.text)
     }
 
     /** Applies changes that [from] received from the store; requests a whole copy if earlier changes are missing. */
     fun adopt(from: VmId, message: PeerMessage.ViewChanged, peerEra: StoreEra?) {
+        peerEra?.let { store.told(it, from) }
         val view = comparableView(message.kind, peerEra) ?: return
         val era = peerEra ?: view.asOf.era
         val isNext = view.adopt(SharedViewCodec.decode(message, era), Revision(message.after, era))
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaListTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaListTest.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.runBlocking
 import org.guavapath.core.identity.FailureDomainName
+import org.guavapath.core.identity.VmId
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.platform.wire.SampleFleet
 import org.guavapath.platform.wire.StoreKinds
@@ -22,16 +23,17 @@
     }
 
     /** One gateway's list of the replicas in a store. */
-    private inner class Gateway(private val memory: MemoryStore) {
+    private inner class Gateway(private val memory: MemoryStore, private val isMember: Boolean) {
         private val fleet = FleetState(FailureDomainName("domain"), MonotonicTime.now(), isFirstStart = false)
         private val store = EraTrackingStore(CountingStore(memory), log)
         private val replicas = ReplicaList(fleet, ReplicaPool(group.next() as EventLoop), store, log)
         private val view = StoreView(StoreKinds.REPLICAS, store, log) {}
 
-        /** Reads the store and returns the replicas that take requests. */
+        /** Reads the store, or has the copy of a hub, and returns the replicas that take requests. */
         fun read(): Set<String> = runBlocking {
-            store.list(StoreKinds.REPLICAS)
-            view.adopt(memory.list(StoreKinds.REPLICAS), "store")
+            val listing = memory.list(StoreKinds.REPLICAS)
+            if (isMember) store.told(listing.asOf.era, VmId("hub")) else store.list(StoreKinds.REPLICAS)
+            view.adopt(listing, "store")
             replicas.update(view)
             fleet.replicas.all.map { it.entry }.filter { !it.isDraining }.map { it.id.text }.toSet()
         }
@@ -71,10 +73,10 @@
                 expected = setOf("one")
             ),
         )
-        cases.forEach { case ->
+        cases.flatMap { case -> listOf(case to false, case to true) }.forEach { (case, isMember) ->
             val memory = MemoryStore(SampleFleet("127.0.0.1:1"))
             memory.writeAll(listed.map { it to false })
-            val gateway = Gateway(memory)
+            val gateway = Gateway(memory, isMember)
             assertEquals(listed, gateway.read(), case.name)
             val copied = memory.size
             case.before.forEach {
@@ -84,7 +86,7 @@
             memory.restore(copied)
             gateway.read()
             memory.writeAll(case.after)
-            assertEquals(case.expected, gateway.read(), case.name)
+            assertEquals(case.expected, gateway.read(), "${case.name}, member of a hub: $isMember")
         }
     }
 }
