Entries of replicas that are missing after an outage are retained for 2.2 s, not longer

The list now says when the next update is due: at the end of the first period for which an entry is held back. ReplicaListTest checks the time.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.delay
@@ -78,6 +79,7 @@
     private val admission = AdmissionHandler(exchanges, operator)
 
     private var callerListener: Channel? = null
+    private var replicasUpdate: Job? = null
 
     override val fleetSize: Int get() = members.fleetSize
 
@@ -181,9 +183,10 @@
         get() = !admission.isDraining && operator.configuration != null && fleet.replicas.all.isNotEmpty()
 
     private fun replicasChanged(view: StoreView) {
-        if (!replicas.update(view)) return
-        scope.launch {
-            delay(ReplicaList.RECOVERY_GRACE_PERIOD)
+        val nextUpdate = replicas.update(view) ?: return
+        replicasUpdate?.cancel()
+        replicasUpdate = scope.launch {
+            delay(nextUpdate)
             replicasChanged(view)
         }
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaList.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaList.kt
@@ -29,8 +29,8 @@
     private var listed = emptyMap<ReplicaId, Replica>()
     private val decodeErrors = HashMap<String, String>()
 
-    /** Applies the entries of [view]; returns whether some are held back, which calls for another update later. */
-    fun update(view: StoreView): Boolean {
+    /** Applies the entries of [view]; returns after what time another update is due, null if no entry is held back. */
+    fun update(view: StoreView): Duration? {
         val now = MonotonicTime.now()
         val decoded = view.objects.mapNotNull { (name, stored) -> decode(name, stored)?.let { it.id to it } }.toMap()
         val present = if (isRestored(now, STALE_COPY_PERIOD)) withoutReturned(decoded) else decoded
@@ -44,7 +44,15 @@
             fleet.directory.forget(lost)
             pool.drop(lost)
         }
-        return kept.isNotEmpty() || present != decoded
+        return if (kept.isEmpty() && present == decoded) null else nextUpdate(view, now)
+    }
+
+    /** Returns the time until the first of the periods ends for which entries are held back. */
+    private fun nextUpdate(view: StoreView, now: MonotonicTime): Duration {
+        val restored = store.restoredAt?.let { listOf(it + RECOVERY_GRACE_PERIOD, it + STALE_COPY_PERIOD) }.orEmpty()
+        val ends = restored + (view.health.recoveredAt + RECOVERY_GRACE_PERIOD)
+        val next = ends.filter { it > now }.minOrNull()?.let { it - now } ?: OUTAGE_CHECK_INTERVAL
+        return if (view.isAvailable) next else minOf(next, OUTAGE_CHECK_INTERVAL)
     }
 
     private fun isRestored(now: MonotonicTime, within: Duration) = store.restoredAt?.let { now - it < within } ?: false
@@ -87,14 +95,17 @@
             .forEach { log.stateChange("replica draining", "replica" to it.id.text) }
     }
 
-    companion object {
+    private companion object {
         /** Live replicas are listed again within about two seconds of the store's recovery. */
         val RECOVERY_GRACE_PERIOD = 2200.milliseconds
 
+        /** While the store does not respond, it is not known when the time to hold back entries begins. */
+        val OUTAGE_CHECK_INTERVAL = 300.milliseconds
+
         /** Longer than three intervals at which replicas write their entries, after which silent ones are removed. */
-        private val STALE_COPY_PERIOD = 5.seconds
+        val STALE_COPY_PERIOD = 5.seconds
 
         /** Older than any copy that the store returns from. */
-        private val LEFT_RETENTION = 60.seconds
+        val LEFT_RETENTION = 60.seconds
     }
 }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaListTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaListTest.kt
@@ -12,6 +12,11 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 class ReplicaListTest {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -27,14 +32,18 @@
         private val fleet = FleetState(FailureDomainName("domain"), MonotonicTime.now(), isFirstStart = false)
         private val store = EraTrackingStore(CountingStore(memory), log)
         private val replicas = ReplicaList(fleet, ReplicaPool(group.next() as EventLoop), store, log)
-        private val view = StoreView(StoreKinds.REPLICAS, store, log) {}
+        val view = StoreView(StoreKinds.REPLICAS, store, log) {}
+
+        /** After what time another update is due, null if no entry is held back. */
+        var nextUpdate: Duration? = null
+            private set
 
         /** Reads the store, or has the copy of a hub, and returns the replicas that take requests. */
         fun read(): Set<String> = runBlocking {
             val listing = memory.list(StoreKinds.REPLICAS)
             if (isMember) store.told(listing.asOf.era, VmId("hub")) else store.list(StoreKinds.REPLICAS)
             view.adopt(listing, "store")
-            replicas.update(view)
+            nextUpdate = replicas.update(view)
             fleet.replicas.all.map { it.entry }.filter { !it.isDraining }.map { it.id.text }.toSet()
         }
     }
@@ -89,4 +98,30 @@
             assertEquals(case.expected, gateway.read(), "${case.name}, member of a hub: $isMember")
         }
     }
+
+    /** Guards against replicas that stay listed after they left while the store did not respond. */
+    @Test
+    fun entriesThatAreMissingAfterAnOutageAreRetainedForALimitedTime() {
+        val memory = MemoryStore(SampleFleet("127.0.0.1:1"))
+        memory.writeAll(listOf("one" to false, "two" to false))
+        val gateway = Gateway(memory, isMember = false)
+        gateway.read()
+        gateway.view.health.failed("cut off")
+        Thread.sleep(OUTAGE.inWholeMilliseconds)
+        memory.writeAll(listOf("two" to null))
+        assertEquals(setOf("one", "two"), gateway.read(), "while the store does not respond")
+        gateway.view.health.succeeded()
+        val recovery = TimeSource.Monotonic.markNow()
+        while ("two" in gateway.read()) Thread.sleep(assertNotNull(gateway.nextUpdate).inWholeMilliseconds + 1)
+        assertTrue(recovery.elapsedNow() in MIN_RETENTION..MAX_RETENTION, "${recovery.elapsedNow()} after the recovery")
+    }
+
+    private companion object {
+        /** Longer than what counts as an outage. */
+        val OUTAGE = 1200.milliseconds
+
+        /** Replicas write their entries again within about two seconds. */
+        val MIN_RETENTION = 2000.milliseconds
+        val MAX_RETENTION = 2500.milliseconds
+    }
 }
