--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -82,14 +82,22 @@
         }
     }
 
-    private fun sendIfPermitted(result: PlacementResult.Chosen) =
-        context.permits.request(result.chosen.record.entry) { decision ->
+    /** Sends the request at once if its replica has named no rate, otherwise once there is a permit. */
+    private fun sendIfPermitted(result: PlacementResult.Chosen) {
+        val replica = result.chosen.record.entry
+        val rate = context.fleet.rates.rate(replica.incarnation) ?: return send(result)
+        context.permits.request(replica) { decision ->
+            context.telemetry.metrics.permitDecided(decision is PermitDecision.Granted)
+            if (decision is PermitDecision.Denied) {
+                context.telemetry.log.permitDenied(admitted, replica.id, rate, decision)
+            }
             when {
                 isOver -> Unit
                 decision is PermitDecision.Granted -> send(result)
                 else -> sendToBest()
             }
         }
+    }
 
     /** Returns a refusal if the response would be late, unless it has begun or the request has no prompt. */
     private fun overloadRefusal(chosen: ScoredReplica): Refusal? {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -4,10 +4,12 @@
 import kotlinx.coroutines.CoroutineExceptionHandler
 import org.guavapath.core.fleet.FleetRequest
 import org.guavapath.core.fleet.FleetVersion
+import org.guavapath.core.fleet.ReplicaId
 import org.guavapath.core.identity.RequestId
 import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.placement.PlacementResult
 import org.guavapath.core.quota.BucketReading
+import org.guavapath.core.throttling.PermitDecision
 import org.guavapath.core.throttling.RequestRate
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.pipeline.Refusal
@@ -67,6 +69,16 @@
         )
     }
 
+    /** Logs that a request is not sent to [replica], whose rate is used up, until [denied] says. */
+    fun permitDenied(admitted: AdmittedRequest, replica: ReplicaId, rate: RequestRate?, denied: PermitDecision.Denied) =
+        write(
+            "permit denied",
+            "requestId" to admitted.request.id.text,
+            "replica" to replica.text,
+            "namedRate" to rate?.perSecond,
+            "nextPermitMs" to denied.retryAfter.inWholeMilliseconds,
+        )
+
     /** Logs an attempt without a complete response that could be relayed. */
     fun attemptEnded(admitted: AdmittedRequest, attempt: Attempt, reason: String) = write(
         "attempt ended",
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
@@ -22,6 +22,11 @@
         registry.counter("guavapath.gateway.refused", codeTags(code)).increment()
     }
 
+    /** Counts the answer to a question for a permit. */
+    fun permitDecided(isGranted: Boolean) {
+        registry.counter("guavapath.gateway.permits", Tags.of("granted", isGranted.toString())).increment()
+    }
+
     /** Records a request that ended and its duration. */
     fun ended(code: ResultCode, admitted: AdmittedRequest, firstEventAt: MonotonicTime?) {
         val tags = codeTags(code).and("route", admitted.route.name)
