A store that states an earlier era than is known is listed now and then

Found by reading: where other gateways know of a later era than the store's responses state, a view would have listed the store without a pause. StoreViewTest guards it.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -95,7 +95,9 @@
     private suspend fun list() = store.list(kind).fold(
         success = {
             health.succeeded()
-            if (it.asOf >= asOf) replace(it) else delay(RETRY_DELAY)
+            val isOutdated = it.asOf < asOf || it.asOf.era < store.era.value
+            if (it.asOf >= asOf) replace(it)
+            if (isOutdated) delay(RETRY_DELAY)
         },
         failure = { failed(it) },
     )
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
@@ -5,17 +5,21 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonPrimitive
+import org.guavapath.core.identity.VmId
 import org.guavapath.core.store.Change
 import org.guavapath.core.store.Listing
 import org.guavapath.core.store.ObjectKind
 import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.store.Revision
+import org.guavapath.core.store.StoreEra
 import org.guavapath.core.store.StoreError
 import org.guavapath.core.store.StoredObject
 import org.guavapath.core.store.WatchResult
 import org.guavapath.platform.wire.SampleFleet
+import org.guavapath.platform.wire.StoreKinds
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -81,4 +85,16 @@
         withTimeoutOrNull(300.milliseconds) { view.follow() }
         assertEquals(true, store.calls > 0)
     }
+
+    /** Guards against listing without a pause while the store's responses are of an earlier era than is known. */
+    @Test
+    fun aStoreThatStatesAnEarlierEraIsListedNowAndThen() = runBlocking {
+        val early = CountingStore(MemoryStore(SampleFleet("127.0.0.1:1")))
+        val tracked = EraTrackingStore(early, GatewayLog())
+        val earlyView = StoreView(StoreKinds.CONFIGURATIONS, tracked, GatewayLog()) {}
+        tracked.told(StoreEra(5), VmId("other"))
+        withTimeoutOrNull(600.milliseconds) { earlyView.follow() }
+        assertEquals(1, earlyView.objects.size)
+        assertTrue(early.reads.get() in 2..4, "${early.reads.get()} calls")
+    }
 }
