--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -20,6 +20,9 @@
 /** Highest version that this build understands; a peer receives no message of a version later than its own. */
 internal const val HIGHEST_PROTOCOL_VERSION = 3
 
+/** The version that introduced rates of replicas and eras of the store. */
+private const val VERSION_OF_RATES_AND_ERAS = 3
+
 /** A message between two daemons. */
 @Serializable
 internal sealed class PeerMessage {
@@ -154,7 +157,7 @@
      */
     @Serializable
     data class OfEra(val era: Long, val message: OfFleet) : OfFleet() {
-        override val sinceVersion: Int get() = HIGHEST_PROTOCOL_VERSION
+        override val sinceVersion: Int get() = VERSION_OF_RATES_AND_ERAS
 
         override fun forVersion(version: Int): PeerMessage? = super.forVersion(version) ?: message.forVersion(version)
     }
@@ -172,7 +175,7 @@
         val weights: Map<String, SharedObject>,
         val isGreeting: Boolean,
     ) : OfFleet() {
-        override val sinceVersion: Int get() = HIGHEST_PROTOCOL_VERSION
+        override val sinceVersion: Int get() = VERSION_OF_RATES_AND_ERAS
     }
 
     /** A stored object, with its value as JSON text. */
@@ -213,7 +216,7 @@
     /** A message about the rates of requests that replicas name. */
     @Serializable
     sealed class OfRates : OfFleet() {
-        override val sinceVersion: Int get() = HIGHEST_PROTOCOL_VERSION
+        override val sinceVersion: Int get() = VERSION_OF_RATES_AND_ERAS
     }
 
     /**
