Log lines tell how old a target is at a gateway, who told it, and how long loads take

`dispatched` has the target and for how long it has been known, `weights named` its source, `weights loaded` and `weights not loaded` the time that the order took. No change of behaviour.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -139,7 +139,7 @@
         history.sent()
         tried.add(result.chosen.record.entry.id)
         val namedRate = context.fleet.rates.rate(result.chosen.record.entry.incarnation)
-        context.telemetry.log.dispatched(admitted, result, history.sends, namedRate)
+        context.telemetry.log.dispatched(admitted, result, history.sends, namedRate, context.fleet.weights)
         relay.restart()
         val attempt = Attempt(context, admitted, result.chosen, onEvent)
         current = attempt
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -12,6 +12,7 @@
 import org.guavapath.core.throttling.PermitDecision
 import org.guavapath.core.throttling.RequestRate
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.core.weights.TargetWeights
 import org.guavapath.daemon.pipeline.Refusal
 
 /** The token bucket of [workspace] when it refused a request of [cost]. */
@@ -44,10 +45,18 @@
             "rateShare" to limit?.bucket?.share,
         )
 
-    /** Logs the replica chosen for a request, and the rate that it has named. */
-    fun dispatched(admitted: AdmittedRequest, result: PlacementResult.Chosen, send: Int, namedRate: RequestRate?) {
+    /** Logs the replica chosen for a request, the rate that it has named, and how its weights compare to the target. */
+    fun dispatched(
+        admitted: AdmittedRequest,
+        result: PlacementResult.Chosen,
+        send: Int,
+        namedRate: RequestRate?,
+        targets: TargetWeights,
+    ) {
         val chosen = result.chosen
-        val load = chosen.record.load(MonotonicTime.now())
+        val now = MonotonicTime.now()
+        val load = chosen.record.load(now)
+        val model = admitted.request.prompt?.model
         write(
             "dispatched",
             "requestId" to admitted.request.id.text,
@@ -65,6 +74,10 @@
             "queuedTokens" to load.promptTokens,
             "running" to load.requests,
             "weights" to chosen.weights?.number,
+            "targetWeights" to model?.let { targets.newest(it)?.number },
+            "outdatedMs" to model?.let { name ->
+                chosen.weights?.let { targets.outdatedFor(name, it, now).inWholeMilliseconds }
+            },
             "namedRate" to namedRate?.perSecond,
         )
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorExchange.kt
@@ -26,7 +26,7 @@
     fun received(from: VmId, message: PeerMessage.OperatorTold) {
         val isNewConfiguration =
             message.configuration?.let { operator.offerConfiguration(decode(OperatorState.CONFIGURATION, it)) } ?: false
-        val newWeights = message.weights.filter { (name, shared) -> operator.offerWeights(decode(name, shared)) }
+        val newWeights = message.weights.filter { (name, shared) -> operator.offerWeights(decode(name, shared), from) }
         if (message.isGreeting) peers.send(from, message(isGreeting = false))
         if (isNewConfiguration || newWeights.isNotEmpty()) peers.relay(from, message(isGreeting = false))
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
 import org.guavapath.core.fleet.FleetConfiguration
+import org.guavapath.core.identity.VmId
 import org.guavapath.core.results.Invariant
 import org.guavapath.core.store.StoredObject
 import org.guavapath.core.time.MonotonicTime
@@ -35,7 +36,7 @@
     }
 
     /** Applies the target weights in [view] that are newer. */
-    fun updateWeights(view: StoreView) = view.objects.values.forEach { offerWeights(it) }
+    fun updateWeights(view: StoreView) = view.objects.values.forEach { offerWeights(it, from = null) }
 
     /** Applies the configuration in [stored] if it is newer; returns whether it is. */
     fun offerConfiguration(stored: StoredObject): Boolean = ConfigurationCodec.decode(stored.value).fold(
@@ -46,8 +47,12 @@
         },
     )
 
-    /** Applies the target weights in [stored] if they are newer; returns whether they are. */
-    fun offerWeights(stored: StoredObject): Boolean {
+    /**
+     * Applies the target weights in [stored] if they are newer; returns whether they are.
+     *
+     * @param from the gateway that has told them, null if they were read from the store
+     */
+    fun offerWeights(stored: StoredObject, from: VmId?): Boolean {
         val targetWeights = ReplicaCodec.targetWeights(stored.value).getOrElse {
             log.stateChange("weights naming ignored", "name" to stored.name, "error" to it)
             null
@@ -59,6 +64,8 @@
                 "weights named",
                 "model" to targetWeights.model.text,
                 "weights" to targetWeights.number.number,
+                "from" to (from?.text ?: "store"),
+                "revision" to stored.revision.number,
             )
         }
         return isNewer
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.guavapath.core.fleet.Replica
+import org.guavapath.core.time.MonotonicTime
 import org.guavapath.core.weights.WeightsOrder
 import org.guavapath.platform.wire.OrderReply
 import org.guavapath.platform.wire.ReplicaCodec
@@ -87,6 +88,7 @@
     }
 
     private suspend fun awaitTarget(order: WeightsOrder, replica: Replica): LoadOutcome {
+        val orderedAt = MonotonicTime.now()
         val isDone = withTimeoutOrNull(LOAD_TIMEOUT) {
             var idleReports = 0
             var isLoaded = false
@@ -98,9 +100,14 @@
             }
             isLoaded
         }
-        if (isDone == true) return LoadOutcome.DONE
-        log.stateChange("weights not loaded", "replica" to replica.id.text, "weights" to order.target.number)
-        return LoadOutcome.FAILED
+        log.stateChange(
+            if (isDone == true) "weights loaded" else "weights not loaded",
+            "replica" to replica.id.text,
+            "weights" to order.target.number,
+            "afterMs" to (MonotonicTime.now() - orderedAt).inWholeMilliseconds,
+            "reason" to if (isDone == null) "the load takes too long" else null,
+        )
+        return if (isDone == true) LoadOutcome.DONE else LoadOutcome.FAILED
     }
 
     private suspend fun report(replica: Replica): ReplicaReport? {
