The age of target weights is that of their naming, also after a restart, freeze or cut

Cause: a gateway counted the age of a target from when it learned of it itself. One that had just started took each target for new and used the weights before it for five seconds more; so did one that was frozen, suspended or cut off when they were named, and its rollout saw no urgency.

Now a target that was found in a listing, not seen to change, is of unknown age. Gateways tell each other since when they know of it, counted from the question, so that a slow answer makes it older, not younger. While the age is unknown, the weights before it are used only if nothing else serves, and only while a gateway that has just started isn't held to the bound. Times in which the process did not run count too.

--- a/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -15,10 +15,12 @@
 import org.guavapath.core.identity.FailureDomainName
 import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.core.weights.ReplacedWeightsPolicy
+import org.guavapath.core.weights.Staleness
 import org.guavapath.core.weights.TargetWeights
+import org.guavapath.core.weights.WeightsUse
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * A request to select a replica for.
@@ -90,22 +92,27 @@
  * @param replicas all listed replicas
  * @param directory which replicas hold which prompts
  * @param weights the target weights of each model
+ * @param policy whether replicas with replaced weights may be used
+ * @param startedAt when this VM started
  */
 public class Placement(
     private val domain: FailureDomainName,
     private val replicas: ReplicaRegistry,
     private val directory: PromptDirectory,
     private val weights: TargetWeights,
+    private val policy: ReplacedWeightsPolicy = ReplacedWeightsPolicy(),
+    private val startedAt: MonotonicTime = MonotonicTime.ZERO,
 ) {
     /**
      * Returns the replica with the lowest cost for [request] at [now].
      *
      * Avoided replicas are considered only if no other is left, and replicas that are loading weights last of all.
+     * Replicas with weights that were replaced at an unknown time are considered only if there are no others.
      */
     public fun choose(request: PlacementRequest, now: MonotonicTime): PlacementResult {
         val listed = replicas.of(request.service)
         val usable = listed.filter { !it.entry.isDraining && it.entry.id !in request.excluded }
-        val current = usable.filter { isCurrentEnough(it, request.prompt, now) }
+        val current = currentEnough(usable, request.prompt, now)
         val open = current.filter { it.entry.id !in request.closed }
         return when {
             current.isEmpty() ->
@@ -123,10 +130,20 @@
         return PlacementResult.Chosen(chosen, candidates.size)
     }
 
-    private fun isCurrentEnough(record: ReplicaRecord, prompt: PromptShape?, now: MonotonicTime): Boolean {
-        val number = prompt?.let { record.weights(it.model) } ?: return true
-        return weights.outdatedFor(prompt.model, number, now) < MAX_STALENESS
-    }
+    private fun currentEnough(usable: List<ReplicaRecord>, prompt: PromptShape?, now: MonotonicTime) =
+        if (prompt == null) {
+            usable
+        } else {
+            val uses = usable.groupBy { use(it, prompt, now) }
+            val allowed = uses.filterKeys { it is WeightsUse.Unlimited || it is WeightsUse.Limited }.values.flatten()
+            allowed.ifEmpty { uses.filterKeys { it is WeightsUse.LastResort }.values.flatten() }
+        }
+
+    private fun use(record: ReplicaRecord, prompt: PromptShape, now: MonotonicTime): WeightsUse =
+        policy.use(staleness(record, prompt, now), expectedWait = Duration.ZERO, uptime = now - startedAt)
+
+    private fun staleness(record: ReplicaRecord, prompt: PromptShape, now: MonotonicTime): Staleness =
+        record.weights(prompt.model)?.let { weights.staleness(prompt.model, it, now) } ?: Staleness.Current
 
     /** Scores candidates for one request; replicas with the same weights share a path and its sources. */
     private inner class Scorer(
@@ -148,7 +165,7 @@
             val expected = batchTime(load, record.entry.slots) +
                 PREFILL_TIME_PER_TOKEN * (load.promptTokens + missing).toDouble() + FETCH_TIME_PER_TOKEN * fetched
             val isDuplicatePrefill = held + fetched < path.sharedTokens && sources.preferred != record.entry.id
-            val cost = replicaPenalty(record) + expected + stalenessPenalty(prompt, number, now) +
+            val cost = replicaPenalty(record) + expected + stalenessPenalty(staleness(record, prompt, now)) +
                 (if (isDuplicatePrefill) DUPLICATE_PREFILL_PENALTY else Duration.ZERO)
             return ScoredReplica(record, cost, expected, held, source, path, number)
         }
@@ -170,9 +187,11 @@
         return crossDomain + FAILURE_PENALTY * record.health.recentFailures + record.entry.warmUpLeft / WARM_UP_DIVISOR
     }
 
-    private fun stalenessPenalty(prompt: PromptShape, number: WeightsNumber?, now: MonotonicTime): Duration {
-        val age = number?.let { weights.outdatedFor(prompt.model, it, now) } ?: Duration.ZERO
-        return if (age > MAX_UNPENALIZED_STALENESS) STALE_WEIGHTS_PENALTY else Duration.ZERO
+    private fun stalenessPenalty(staleness: Staleness): Duration = when (staleness) {
+        Staleness.Current -> Duration.ZERO
+        is Staleness.Replaced ->
+            if (staleness.age > MAX_UNPENALIZED_STALENESS) STALE_WEIGHTS_PENALTY else Duration.ZERO
+        is Staleness.Unknown -> STALE_WEIGHTS_PENALTY
     }
 
     private fun batchTime(load: ReplicaLoad, slots: Int): Duration =
@@ -201,9 +220,6 @@
         val MAX_UNPENALIZED_STALENESS = 1300.milliseconds
         val STALE_WEIGHTS_PENALTY = 150.milliseconds
 
-        /** Requests must not start on weights replaced 6 s ago; the margin covers queueing and clock differences. */
-        val MAX_STALENESS = 5.seconds
-
         /**
          * Prefilling a shared part twice costs the fleet more than the request is worth, so the first requests go
          * to one replica unless it is busier than the others by this much.
--- a/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
@@ -59,7 +59,7 @@
         val target = targets.newest(model) ?: return emptyList()
         removeStale(replicas, now)
         val outdated = replicas.filter { it.weights < target }
-        val isUrgent = outdated.any { targets.outdatedFor(model, it.weights, now) > URGENT_STALENESS }
+        val isUrgent = outdated.any { isUrgent(targets.staleness(model, it.weights, now)) }
         val isDue = isUrgent || targets.sinceNewest(model, now) >= startDelay
         val free = if (isDue) maxConcurrent(replicas.size) - active.size else 0
         return outdated
@@ -75,6 +75,12 @@
         if (isDone) retryAt.remove(replica) else retryAt[replica] = now + RETRY_DELAY
     }
 
+    private fun isUrgent(staleness: Staleness): Boolean = when (staleness) {
+        Staleness.Current -> false
+        is Staleness.Replaced -> staleness.age > URGENT_STALENESS
+        is Staleness.Unknown -> true
+    }
+
     private fun removeStale(replicas: List<RolloutReplica>, now: MonotonicTime) {
         val present = replicas.map { it.id }.toSet()
         active.values.removeIf { it.order.replica !in present || now - it.startedAt > ORDER_TIMEOUT }
--- a/core/src/test/kotlin/org/guavapath/core/weights/RolloutTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/RolloutTest.kt
@@ -19,6 +19,12 @@
         RolloutReplica(ReplicaId("r$index"), WeightsNumber(number), load = index)
     }
 
+    private fun age(staleness: Staleness) = when (staleness) {
+        Staleness.Current -> Duration.ZERO
+        is Staleness.Replaced -> staleness.age
+        is Staleness.Unknown -> error("$staleness")
+    }
+
     @Test
     fun ordersGoToAFewOfTheLeastLoadedOutdatedReplicasAtATime() {
         val targets = TargetWeights().apply { setTarget(model, WeightsNumber(2), MonotonicTime.ZERO) }
@@ -67,7 +73,7 @@
                 val isAnswered = random.nextBoolean()
                 orderEnds[order.replica] = now + (if (isAnswered) 600 else 450).milliseconds to isAnswered
             }
-            worst = maxOf(worst, weights.maxOf { targets.outdatedFor(model, WeightsNumber(it), now) })
+            worst = maxOf(worst, weights.maxOf { age(targets.staleness(model, WeightsNumber(it), now)) })
         }
         assertTrue(worst < 6.seconds, "a replica was outdated for $worst")
         assertTrue(weights.all { it == latest }, weights.toList().toString())
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
@@ -8,6 +8,8 @@
 import org.guavapath.core.quota.FleetQuota
 import org.guavapath.core.throttling.NamedRates
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.core.time.StallDetector
+import org.guavapath.core.weights.ReplacedWeightsPolicy
 import org.guavapath.core.weights.TargetWeights
 
 /** This VM's view of the fleet. Confined to the event loop. */
@@ -18,5 +20,6 @@
     val quarantine = PromptQuarantine()
     val rates = NamedRates()
     val quota = FleetQuota(startedAt, isFirstStart)
-    val placement = Placement(domain, replicas, directory, weights)
+    val stalls = StallDetector()
+    val placement = Placement(domain, replicas, directory, weights, ReplacedWeightsPolicy(), startedAt)
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -64,6 +64,7 @@
     private val lease = RolloutLease(settings.vm, incarnation, store, settings.isFirstStart, log)
     private val exchange = PeerExchange(settings.vm, viewExchange, peers, topology, liveness, lease)
     private val operatorExchange = OperatorExchange(operator, exchange, store)
+    private val targetAges = TargetAgeTask(fleet, exchange, log)
     private val storedCrashes = StoredCrashReports(store, settings.isFirstStart, log)
     override val quarantine = QuarantineTask(fleet, exchange, storedCrashes, log)
     private val arbitration = RateArbitration(settings.vm)
@@ -105,6 +106,8 @@
         scope.launch { publisher.publishStatusForever() }
         scope.launch { publisher.publishPromptsForever() }
         scope.launch { publisher.publishUsageForever() }
+        operator.onWeightsFound = targetAges::ask
+        scope.launch { targetAges.run() }
         scope.launch { rollout.run(scope) }
         quarantine.onQuarantined = { exchanges.running.toList().forEach { it.endIfQuarantined() } }
         scope.launch { quarantine.run(scope) }
@@ -146,6 +149,7 @@
             is PeerMessage.ViewWanted -> viewExchange.share(from, message)
             is PeerMessage.PromptCrashes -> quarantine.received(from, message)
             is PeerMessage.OfRates -> permits.received(from, message)
+            is PeerMessage.OfTargets -> targetAges.received(from, message)
             is PeerMessage.OfRollout -> {
                 rollout.received(message)
                 exchange.relay(from, message)
@@ -167,6 +171,7 @@
         quarantine.linked(peer)
         namedRates.linked(peer)
         operatorExchange.linked(peer)
+        targetAges.linked(peer)
     }
 
     /**
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -75,9 +75,7 @@
             "running" to load.requests,
             "weights" to chosen.weights?.number,
             "targetWeights" to model?.let { targets.newest(it)?.number },
-            "outdatedMs" to model?.let { name ->
-                chosen.weights?.let { targets.outdatedFor(name, it, now).inWholeMilliseconds }
-            },
+            "staleness" to model?.let { name -> chosen.weights?.let { targets.staleness(name, it, now).toString() } },
             "namedRate" to namedRate?.perSecond,
         )
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorExchange.kt
@@ -26,11 +26,14 @@
     fun received(from: VmId, message: PeerMessage.OperatorTold) {
         val isNewConfiguration =
             message.configuration?.let { operator.offerConfiguration(decode(OperatorState.CONFIGURATION, it)) } ?: false
-        val newWeights = message.weights.filter { (name, shared) -> operator.offerWeights(decode(name, shared), from) }
+        val newWeights = message.weights.filter { (name, shared) -> isNew(name, shared, from) }
         if (message.isGreeting) peers.send(from, message(isGreeting = false))
         if (isNewConfiguration || newWeights.isNotEmpty()) peers.relay(from, message(isGreeting = false))
     }
 
+    private fun isNew(name: String, shared: PeerMessage.SharedObject, from: VmId) =
+        operator.offerWeights(decode(name, shared), from, isWitnessed = false)
+
     private fun message(isGreeting: Boolean) = PeerMessage.OperatorTold(
         operator.storedConfiguration?.let { SharedViewCodec.encode(it) },
         operator.storedWeights.mapValues { SharedViewCodec.encode(it.value) },
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
@@ -35,8 +35,12 @@
         view.objects[CONFIGURATION]?.let { offerConfiguration(it) }
     }
 
+    /** Called when target weights were found that may have been named long before. */
+    var onWeightsFound: () -> Unit = {}
+
     /** Applies the target weights in [view] that are newer. */
-    fun updateWeights(view: StoreView) = view.objects.values.forEach { offerWeights(it, from = null) }
+    fun updateWeights(view: StoreView) =
+        view.objects.values.forEach { offerWeights(it, from = null, isWitnessed = view.isChangeWitnessed) }
 
     /** Applies the configuration in [stored] if it is newer; returns whether it is. */
     fun offerConfiguration(stored: StoredObject): Boolean = ConfigurationCodec.decode(stored.value).fold(
@@ -51,13 +55,15 @@
      * Applies the target weights in [stored] if they are newer; returns whether they are.
      *
      * @param from the gateway that has told them, null if they were read from the store
+     * @param isWitnessed whether they were named right before
      */
-    fun offerWeights(stored: StoredObject, from: VmId?): Boolean {
+    fun offerWeights(stored: StoredObject, from: VmId?, isWitnessed: Boolean): Boolean {
         val targetWeights = ReplicaCodec.targetWeights(stored.value).getOrElse {
             log.stateChange("weights naming ignored", "name" to stored.name, "error" to it)
             null
         } ?: return false
-        val isNewer = fleet.weights.setTarget(targetWeights.model, targetWeights.number, MonotonicTime.now())
+        val learnedAt = fleet.stalls.earliestArrival(MonotonicTime.now())
+        val isNewer = fleet.weights.setTarget(targetWeights.model, targetWeights.number, learnedAt, isWitnessed)
         if (isNewer) {
             newestWeights[stored.name] = stored
             log.stateChange(
@@ -66,7 +72,9 @@
                 "weights" to targetWeights.number.number,
                 "from" to (from?.text ?: "store"),
                 "revision" to stored.revision.number,
+                "isWitnessed" to isWitnessed,
             )
+            if (!isWitnessed) onWeightsFound()
         }
         return isNewer
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
@@ -23,7 +23,7 @@
     private val liveness: PeerLiveness,
     private val lease: RolloutLease,
 ) : RolloutPeers,
-    QuarantinePeers {
+    GatewayPeers {
     /** The holder of the rollout lease as far as this gateway knows. */
     val rolloutHolder: PeerMessage.RolloutHolder? get() = lease.knownHolder
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -15,13 +15,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Access to the other gateways for a [QuarantineTask]. */
-internal interface QuarantinePeers {
-    fun broadcast(message: PeerMessage)
-
-    fun send(to: VmId, message: PeerMessage)
-}
-
 /**
  * Reports crashes that prompts may have caused and keeps the other gateways informed of them.
  *
@@ -30,7 +23,7 @@
  */
 internal class QuarantineTask(
     private val fleet: FleetState,
-    private val peers: QuarantinePeers,
+    private val peers: GatewayPeers,
     private val stored: StoredCrashReports,
     private val log: GatewayLog,
 ) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -61,6 +61,13 @@
     var newestChange = Revision.NONE
         private set
 
+    /**
+     * Whether the last change of the copy was a change of the store that had just been made. Otherwise the copy was
+     * replaced, and what is new in it may have been written long before.
+     */
+    var isChangeWitnessed = false
+        private set
+
     /** Called when the copy was replaced by one of a later era. */
     var onRestored: () -> Unit = {}
 
@@ -149,6 +156,7 @@
             )
         }
         val isChanged = listing.objects != held || asOf == Revision.NONE
+        isChangeWitnessed = false
         held.clear()
         held.putAll(listing.objects)
         asOf = listing.asOf
@@ -158,6 +166,7 @@
     }
 
     private fun apply(result: WatchResult.Changes) {
+        isChangeWitnessed = true
         result.changes.forEach { change ->
             val present = change.present
             if (present == null) held.remove(change.name) else held[change.name] = present
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -18,11 +18,14 @@
 internal const val PROTOCOL_VERSION = 2
 
 /** Highest version that this build understands; a peer receives no message of a version later than its own. */
-internal const val HIGHEST_PROTOCOL_VERSION = 3
+internal const val HIGHEST_PROTOCOL_VERSION = 4
 
 /** The version that introduced rates of replicas and eras of the store. */
 private const val VERSION_OF_RATES_AND_ERAS = 3
 
+/** The version that introduced ages of target weights and suspects of all kinds. */
+private const val VERSION_OF_SUSPECTS_AND_AGES = 4
+
 /** A message between two daemons. */
 @Serializable
 internal sealed class PeerMessage {
@@ -266,6 +269,29 @@
         val retryAfterMilliseconds: Long,
     ) : OfRates()
 
+    /** A message about when target weights were named. */
+    @Serializable
+    sealed class OfTargets : OfFleet() {
+        override val sinceVersion: Int get() = VERSION_OF_SUSPECTS_AND_AGES
+    }
+
+    /** The sender asks what the receiver knows; [number] identifies the question among those of the sender. */
+    @Serializable
+    data class TargetAgesWanted(val number: Long) : OfTargets()
+
+    /** The answer to the question [number]: the recent targets by model, oldest first. */
+    @Serializable
+    data class TargetAgesTold(val number: Long, val namings: Map<String, List<SharedNaming>>) : OfTargets()
+
+    /**
+     * When a target was named.
+     *
+     * @property ageMilliseconds time since the first gateway is known to have learned of it
+     * @property isWitnessed whether that gateway learned of it as a change; it may have been named long before otherwise
+     */
+    @Serializable
+    data class SharedNaming(val number: Long, val ageMilliseconds: Long, val isWitnessed: Boolean)
+
     /** A message about replicas that change their weights. */
     @Serializable
     sealed class OfRollout : OfFleet()
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
@@ -41,7 +41,7 @@
         PromptShape(ModelName("model"), 20, 10, listOf(PromptPart("shared", 10), PromptPart("own", 10)))
 
     /** Delivers messages to the gateways that are linked. */
-    private inner class Links(private val self: VmId, private val linked: () -> Set<VmId>) : QuarantinePeers {
+    private inner class Links(private val self: VmId, private val linked: () -> Set<VmId>) : GatewayPeers {
         override fun broadcast(message: PeerMessage) = linked().forEach { send(it, message) }
 
         override fun send(to: VmId, message: PeerMessage) {
