Requests do not begin too late on replaced weights because they wait at their replica

A replica with replaced weights is chosen only if the request is expected to begin in time there. One that has not begun by then is taken back: it goes to another replica if it may, otherwise it ends at once.

--- a/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -51,6 +51,7 @@
  * @property source where the replica may fetch more of the prompt, null if prefill is as fast
  * @property path the prompt's path under the replica's weights, null for plain requests
  * @property weights weights that the replica is expected to serve the request with
+ * @property beginBy when the request must have begun, as these weights have been replaced; null if they have not
  */
 public data class ScoredReplica(
     public val record: ReplicaRecord,
@@ -60,6 +61,7 @@
     public val source: PromptSource?,
     public val path: PromptPath?,
     public val weights: WeightsNumber?,
+    public val beginBy: MonotonicTime? = null,
 ) {
     /** Returns how many tokens of [prompt] the replica has to prefill or fetch. */
     public fun uncachedTokens(prompt: PromptShape?): Long = maxOf(0, (prompt?.promptTokens ?: 0) - heldTokens)
@@ -76,7 +78,8 @@
     public data class Chosen(public val chosen: ScoredReplica, public val candidates: Int) : PlacementResult()
 
     /**
-     * No replica can take the request: none is listed, or all are draining, excluded or on weights that are too old.
+     * No replica can take the request: none is listed, or all are draining, excluded, or on weights that are too old or
+     * will be when the request begins.
      *
      * @property reason how many replicas remained after each check
      */
@@ -112,35 +115,38 @@
     public fun choose(request: PlacementRequest, now: MonotonicTime): PlacementResult {
         val listed = replicas.of(request.service)
         val usable = listed.filter { !it.entry.isDraining && it.entry.id !in request.excluded }
-        val current = currentEnough(usable, request.prompt, now)
-        val open = current.filter { it.entry.id !in request.closed }
+        val uses = usable.groupBy { use(it, request.prompt, Duration.ZERO, now)::class }
+        val current = uses[WeightsUse.Unlimited::class].orEmpty() + uses[WeightsUse.Limited::class].orEmpty()
+        val lastResort = uses[WeightsUse.LastResort::class].orEmpty()
+        val chosen = listOf(current, lastResort).firstNotNullOfOrNull { bestOf(it, request, now) }
+        val open = current.ifEmpty { lastResort }
         return when {
-            current.isEmpty() ->
-                PlacementResult.NoReplica("${listed.size} listed, ${usable.size} usable, none with current weights")
-            open.isEmpty() -> PlacementResult.AllClosed
-            else -> best(open, Scorer(request, current.map { it.entry.id }.toSet(), now), now)
+            chosen != null -> chosen
+            open.isNotEmpty() && open.all { it.entry.id in request.closed } -> PlacementResult.AllClosed
+            else -> PlacementResult.NoReplica(
+                "${listed.size} listed, ${usable.size} usable, ${open.size} with current weights, none in time",
+            )
         }
     }
 
-    private fun best(open: List<ReplicaRecord>, scorer: Scorer, now: MonotonicTime): PlacementResult.Chosen {
-        val healthy = open.filter { !it.health.isAvoided(now) && it.loadingUntil <= now }
-        val candidates = healthy.ifEmpty { open.filter { it.loadingUntil <= now } }.ifEmpty { open }
-        val scored = candidates.map { scorer.score(it) }
-        val chosen = scored.minWith(compareBy<ScoredReplica> { it.cost }.thenBy { it.record.entry.id })
-        return PlacementResult.Chosen(chosen, candidates.size)
-    }
-
-    private fun currentEnough(usable: List<ReplicaRecord>, prompt: PromptShape?, now: MonotonicTime) =
-        if (prompt == null) {
-            usable
-        } else {
-            val uses = usable.groupBy { use(it, prompt, now) }
-            val allowed = uses.filterKeys { it is WeightsUse.Unlimited || it is WeightsUse.Limited }.values.flatten()
-            allowed.ifEmpty { uses.filterKeys { it is WeightsUse.LastResort }.values.flatten() }
+    /** Returns the best of [current] at which the request begins in time, null if there is none. */
+    private fun bestOf(
+        current: List<ReplicaRecord>,
+        request: PlacementRequest,
+        now: MonotonicTime,
+    ): PlacementResult.Chosen? {
+        val open = current.filter { it.entry.id !in request.closed }
+        val scorer = Scorer(request, current.map { it.entry.id }.toSet(), now)
+        val idle = open.filter { it.loadingUntil <= now }
+        return sequenceOf(idle.filter { !it.health.isAvoided(now) }, idle, open).firstNotNullOfOrNull { candidates ->
+            candidates.mapNotNull { scorer.scoreIfInTime(it) }
+                .minWithOrNull(compareBy<ScoredReplica> { it.cost }.thenBy { it.record.entry.id })
+                ?.let { PlacementResult.Chosen(it, candidates.size) }
         }
+    }
 
-    private fun use(record: ReplicaRecord, prompt: PromptShape, now: MonotonicTime): WeightsUse =
-        policy.use(staleness(record, prompt, now), expectedWait = Duration.ZERO, uptime = now - startedAt)
+    private fun use(record: ReplicaRecord, prompt: PromptShape?, wait: Duration, now: MonotonicTime): WeightsUse =
+        if (prompt == null) WeightsUse.Unlimited else policy.use(staleness(record, prompt, now), wait, now - startedAt)
 
     private fun staleness(record: ReplicaRecord, prompt: PromptShape, now: MonotonicTime): Staleness =
         record.weights(prompt.model)?.let { weights.staleness(prompt.model, it, now) } ?: Staleness.Current
@@ -153,7 +159,18 @@
     ) {
         private val paths = HashMap<WeightsNumber?, Pair<PromptPath, PromptSources>>()
 
-        fun score(record: ReplicaRecord): ScoredReplica {
+        /** Returns null if the request would begin too late on the weights of [record]. */
+        fun scoreIfInTime(record: ReplicaRecord): ScoredReplica? {
+            val scored = score(record)
+            return when (val use = use(record, request.prompt, scored.expected, now)) {
+                WeightsUse.Unlimited -> scored
+                is WeightsUse.Limited -> scored.copy(beginBy = now + use.beginsWithin)
+                is WeightsUse.LastResort -> scored.copy(beginBy = now + use.beginsWithin)
+                WeightsUse.Forbidden -> null
+            }
+        }
+
+        private fun score(record: ReplicaRecord): ScoredReplica {
             val prompt = request.prompt ?: return scorePlain(record)
             val load = record.load(now)
             val number = record.weights(prompt.model)
--- a/core/src/test/kotlin/org/guavapath/core/placement/PlacementTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/placement/PlacementTest.kt
@@ -19,6 +19,7 @@
 import kotlin.test.assertNotEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class PlacementTest {
@@ -96,6 +97,26 @@
         assertTrue(TestVm(four).refuses(request(prompt("a", "b"), excluded = four.map { it.id }.toSet())))
     }
 
+    /** Guards against requests that are sent in time to replaced weights and begin too late behind those that wait. */
+    @Test
+    fun requestsThatWouldBeginTooLateOnReplacedWeightsGoElsewhere() {
+        val cases = listOf(
+            Triple("no queue", 0L, "r1"),
+            Triple("a queue that ends in time", 80_000L, "r1"),
+            Triple("a queue that ends too late", 160_000L, "r2"),
+        )
+        cases.forEach { (name, queuedTokens, expected) ->
+            val vm = TestVm(listOf(replica("r1", weights = 1), replica("r2", there, weights = 2)))
+            vm.weights.setTarget(model, WeightsNumber(1), MonotonicTime.ZERO)
+            vm.weights.setTarget(model, WeightsNumber(2), now + (-4).seconds)
+            checkNotNull(vm.replicas[ReplicaId("r1")]).requestSent(queuedTokens)
+            checkNotNull(vm.replicas[ReplicaId("r2")]).requestSent(queuedTokens + 50_000)
+            val chosen = vm.choose(request(prompt("a", "b")))
+            assertEquals(expected, chosen.record.entry.id.text, name)
+            assertEquals(if (expected == "r1") 1600.milliseconds else null, chosen.beginBy?.let { it - now }, name)
+        }
+    }
+
     @Test
     fun allVmsChooseTheSameReplicaForAnUncachedSharedPart() {
         val chosen = listOf(TestVm(four), TestVm(four, there), TestVm(four.reversed()))
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -35,6 +35,9 @@
 
     /** Nothing arrived within the time limit; the replica may still respond. */
     data object TimedOut : AttemptEvent()
+
+    /** The request has not begun, and would begin too late on weights that have been replaced. */
+    data object Outdated : AttemptEvent()
 }
 
 /**
@@ -58,6 +61,7 @@
         accounting.observe(ReplicaOutcome.UNRESPONSIVE)
         onEvent(this, AttemptEvent.TimedOut)
     }
+    private val beginTimer = InactivityTimer(context.loop) { onEvent(this, AttemptEvent.Outdated) }
     private var head: ReplicaResponseHead? = null
     private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
 
@@ -72,6 +76,7 @@
     fun start(instructions: ReplicaInstructions) {
         choice.path?.let { context.fleet.directory.record(it, record.entry.id, startedAt) }
         timer.restart(firstByteTimeout())
+        choice.beginBy?.let { beginTimer.restart(it - startedAt) }
         val request = ReplicaRequest(
             record.entry,
             ReplicaRequests.forward(admitted.incoming, instructions),
@@ -98,6 +103,7 @@
 
     override fun head(head: ReplicaResponseHead, headers: HttpHeaders) {
         if (hasEnded) return
+        beginTimer.stop()
         progress.headReceived(MonotonicTime.now())
         this.head = head
         this.headers = headers.copy()
@@ -150,6 +156,7 @@
         if (hasEnded) return
         hasEnded = true
         timer.stop()
+        beginTimer.stop()
         accounting.finish(outcome)
         then()
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -90,6 +90,10 @@
                 attempts.countPossibleRun(attempt)
                 if (attempts.mayRetry(hasArrived = true)) retry(attempt, "no data within the time limit")
             }
+            AttemptEvent.Outdated -> {
+                attempts.countPossibleRun(attempt)
+                retryOrFail(attempt, DispatchCode.OutcomeUnknown, "it has not begun on weights that were replaced")
+            }
         }
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -287,7 +287,7 @@
      * When a target was named.
      *
      * @property ageMilliseconds time since the first gateway is known to have learned of it
-     * @property isWitnessed whether that gateway learned of it as a change; it may have been named long before otherwise
+     * @property isWitnessed whether that gateway saw it change; otherwise it may have been named long before
      */
     @Serializable
     data class SharedNaming(val number: Long, val ageMilliseconds: Long, val isWitnessed: Boolean)
