The rollout lease stays with its holder while that is about to learn of new targets

Cause: a gateway that learned of the target before the holder had stated to know it held the holder for cut off from the store. It is passed over now only if it stays behind for a second.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
@@ -10,6 +10,8 @@
 import org.guavapath.core.routing.BlockHash
 import org.guavapath.core.store.StoreEra
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.core.weights.HolderState
+import org.guavapath.core.weights.RolloutCandidacy
 import org.guavapath.daemon.peers.PeerMessage
 import org.guavapath.daemon.peers.PeerSender
 import org.guavapath.platform.wire.StoreKinds
@@ -30,6 +32,7 @@
     private class Received(val status: PeerMessage.FleetStatus, val era: StoreEra?)
 
     private val statuses = HashMap<VmId, Received>()
+    private val candidacy = RolloutCandidacy(self)
 
     /** Applies the [status] of [from]; its revisions are of [era], null if that is not known. */
     fun statusReceived(from: VmId, status: PeerMessage.FleetStatus, era: StoreEra?, fleet: FleetState) {
@@ -73,31 +76,22 @@
         (recipients - from).forEach { peers.send(it, message) }
     }
 
-    /**
-     * The current holder stays the candidate while it is eligible; otherwise it is the eligible gateway with the
-     * lowest name.
-     */
-    override fun isRolloutCandidate(): Boolean {
-        val holder = lease.knownHolder?.vm
-        val isAvailable = isStoreAvailable()
-        return isAvailable && !topology.isMember && when {
-            holder == self -> true
-            holder != null && isEligible(holder) -> false
-            else -> statuses.keys.filter { isEligible(it) }.all { self < it }
-        }
-    }
+    override fun isRolloutCandidate(): Boolean = isStoreAvailable() && !topology.isMember &&
+        candidacy.isCandidate(
+            lease.knownHolder?.vm,
+            statuses.mapValues { (vm, received) -> holderState(vm, received) },
+            MonotonicTime.now(),
+        )
 
     override fun broadcast(message: PeerMessage) =
         (topology.equalPeers + topology.members).forEach { peers.send(it, message) }
 
     override fun send(to: VmId, message: PeerMessage) = peers.send(to, message)
 
-    /** Whether [vm] may hold the lease. One without a change that this one has may have lost the store unnoticed. */
-    private fun isEligible(vm: VmId): Boolean {
-        val received = statuses[vm]
-        val status = received?.status
-        return liveness.isAlive(vm) && status != null && status.isHub && status.isServedByStore &&
-            views.isUpToDate(StoreKinds.WEIGHTS, status.views, received.era)
+    private fun holderState(vm: VmId, received: Received): HolderState {
+        val status = received.status
+        val isAvailable = liveness.isAlive(vm) && status.isHub && status.isServedByStore
+        return HolderState(isAvailable, views.isUpToDate(StoreKinds.WEIGHTS, status.views, received.era))
     }
 
     /** Whether the store responds to this gateway. */
