A holder of the rollout lease that has only been restarted does not wait for itself

The second of handover is for a former holder that may still run; a former process of the same VM does not. The new test was not run on the code before.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
@@ -127,7 +127,8 @@
                 knownHolder = PeerMessage.RolloutHolder(self, token.number)
                 // A lease that was written into a later era than that of its token has to be taken once more.
                 confirmation = newConfirmation.takeIf { _ -> token.era >= it.revision.era }
-                usableFrom = if (isFirst) newConfirmation.at else newConfirmation.at + HANDOVER_DELAY
+                val isUndisputed = isFirst || isOfFormerProcess(former, highest, it.revision.era)
+                usableFrom = if (isUndisputed) newConfirmation.at else newConfirmation.at + HANDOVER_DELAY
                 log.stateChange(
                     "rollout lease taken",
                     "token" to token.number,
@@ -139,6 +140,11 @@
         )
     }
 
+    /** Whether the last holder was a process of this VM, which has ended, so that there is nobody to wait for. */
+    private fun isOfFormerProcess(former: LeaseRecord?, highestToken: Long, era: StoreEra): Boolean =
+        former?.vm == self && former.incarnation != incarnation && former.fencingToken == highestToken &&
+            FencingToken(highestToken).era >= era
+
     private fun decode(stored: StoredObject): LeaseRecord? = try {
         Json.decodeFromJsonElement(LeaseRecord.serializer(), stored.value)
     } catch (exception: SerializationException) {
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/RolloutLeaseTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/RolloutLeaseTest.kt
@@ -15,8 +15,13 @@
     private val store = MemoryStore(SampleFleet("127.0.0.1:1"))
     private val log = GatewayLog()
 
-    private fun lease(vm: String) =
-        RolloutLease(VmId(vm), Incarnation(1), EraTrackingStore(CountingStore(store), log), isFirstStart = false, log)
+    private fun lease(vm: String, incarnation: Long = 1) = RolloutLease(
+        VmId(vm),
+        Incarnation(incarnation),
+        EraTrackingStore(CountingStore(store), log),
+        isFirstStart = false,
+        log,
+    )
 
     /** Takes the lease for [lease] and waits until it may be used; returns its token. */
     private suspend fun take(lease: RolloutLease): Long {
@@ -67,6 +72,16 @@
         assertEquals(next, assertNotNull(leases.getValue(case.next).confirmedToken(), case.name))
     }
 
+    /** Guards against a second without orders when the holder's process has only been restarted. */
+    @Test
+    fun aRestartedHolderNeedNotWaitForItself() = runBlocking {
+        val first = take(lease("vm-1"))
+        val restarted = assertNotNull(lease("vm-1", incarnation = 2).confirmedToken(), "usable at once")
+        assertTrue(restarted > first, "$restarted after $first")
+        assertEquals(null, lease("vm-2").confirmedToken(), "another gateway waits")
+        assertEquals(null, lease("vm-1", incarnation = 3).confirmedToken(), "the last holder was another gateway")
+    }
+
     private companion object {
         /** Longer than a confirmation is valid. */
         val CONFIRMATION_VALIDITY = 800.milliseconds
