Rollouts order all replicas while the weights before may be used, however long loads take

Two were loaded at a time, each for 1.7 to 2.6 s as loads wait for running requests; a load of more than 2 s counted as failed though it was in progress, and was ordered again.

The number of replicas that load at a time follows from the time left and from how long loads take; at most half of them until the weights before may not be used any more, then all that have these. A load in progress is followed until it ends. RolloutTest has a table over 6, 82 and 1,400 replicas, loads of 0.5 to 8 s, and orders that begin late.

--- a/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
@@ -36,15 +36,21 @@
  *
  * Loading is expensive and clears the cache, so the rollout first waits briefly for an even newer target. It then
  * updates a few replicas at a time while the others serve the traffic: those with the oldest weights first, and of
- * those the least loaded.
+ * those the least loaded. If loads take so long, or began so late, that not all replicas would be ordered while the
+ * weights before may still be used, more load at a time; replicas whose weights may not be used any more all do.
  *
+ * @param usableFor how long weights may be used after newer ones were named
  * @param startDelay how long after the newest target was set the first replica is ordered
  */
-public class Rollout(private val startDelay: Duration = START_DELAY) {
+public class Rollout(
+    private val usableFor: Duration = ReplacedWeightsPolicy.DEFAULT_BOUND - ReplacedWeightsPolicy.RESERVE,
+    private val startDelay: Duration = START_DELAY,
+) {
     private class Attempt(val order: WeightsOrder, val startedAt: MonotonicTime)
 
     private val active = HashMap<ReplicaId, Attempt>()
     private val retryAt = HashMap<ReplicaId, MonotonicTime>()
+    private var usualLoadTime = INITIAL_LOAD_TIME
 
     /** Replicas whose order has not ended yet. */
     public val orderedReplicas: Set<ReplicaId> get() = active.keys
@@ -59,9 +65,14 @@
         val target = targets.newest(model) ?: return emptyList()
         removeStale(replicas, now)
         val outdated = replicas.filter { it.weights < target }
-        val isUrgent = outdated.any { isUrgent(targets.staleness(model, it.weights, now)) }
-        val isDue = isUrgent || targets.sinceNewest(model, now) >= startDelay
-        val free = if (isDue) maxConcurrent(replicas.size) - active.size else 0
+        if (outdated.isEmpty()) {
+            usualLoadTime = INITIAL_LOAD_TIME
+            return emptyList()
+        }
+        val age = outdated.maxOf { age(targets.staleness(model, it.weights, now)) }
+        val isDue = age > usableFor / 2 || targets.sinceNewest(model, now) >= startDelay
+        val occupied = active.values.count { now - it.startedAt < MAX_OCCUPIED_TIME }
+        val free = if (isDue) concurrency(replicas.size, outdated.size, usableFor - age, now) - occupied else 0
         return outdated
             .filter { it.id !in active && (retryAt[it.id] ?: MonotonicTime.ZERO) <= now }
             .sortedWith(compareBy<RolloutReplica> { it.weights }.thenBy { it.load })
@@ -71,14 +82,15 @@
 
     /** Records that the order for [replica] ended; if it failed, it is retried after a delay. */
     public fun ended(replica: ReplicaId, isDone: Boolean, now: MonotonicTime) {
-        active.remove(replica)
+        val attempt = active.remove(replica)
         if (isDone) retryAt.remove(replica) else retryAt[replica] = now + RETRY_DELAY
+        if (isDone && attempt != null) usualLoadTime = (usualLoadTime + (now - attempt.startedAt)) / 2
     }
 
-    private fun isUrgent(staleness: Staleness): Boolean = when (staleness) {
-        Staleness.Current -> false
-        is Staleness.Replaced -> staleness.age > URGENT_STALENESS
-        is Staleness.Unknown -> true
+    private fun age(staleness: Staleness): Duration = when (staleness) {
+        Staleness.Current -> Duration.ZERO
+        is Staleness.Replaced -> staleness.age
+        is Staleness.Unknown -> maxOf(staleness.atLeast, usableFor * UNKNOWN_AGE_SHARE)
     }
 
     private fun removeStale(replicas: List<RolloutReplica>, now: MonotonicTime) {
@@ -87,8 +99,21 @@
         retryAt.keys.retainAll(present)
     }
 
-    /** Bounds concurrent loads: the other replicas serve the traffic, and concurrent loads slow each other down. */
-    private fun maxConcurrent(replicas: Int): Int = ceil(replicas * MAX_CONCURRENT_SHARE).toInt()
+    /**
+     * Bounds concurrent loads: the other replicas serve the traffic, and concurrent loads slow each other down.
+     *
+     * @param timeLeft time in which the weights of the [outdated] replicas may still be used
+     */
+    private fun concurrency(replicas: Int, outdated: Int, timeLeft: Duration, now: MonotonicTime): Int {
+        if (timeLeft <= Duration.ZERO) return replicas
+        val longest = active.values.maxOfOrNull { now - it.startedAt } ?: Duration.ZERO
+        val rounds = 1 + (timeLeft / maxOf(usualLoadTime, longest)).toInt()
+        val needed = ceil(outdated.toDouble() / rounds).toInt()
+        return maxOf(
+            ceil(replicas * MAX_CONCURRENT_SHARE).toInt(),
+            minOf(needed, ceil(replicas * MAX_LATE_CONCURRENT_SHARE).toInt()),
+        )
+    }
 
     private companion object {
         /**
@@ -96,13 +121,20 @@
          * takes about 2 s.
          */
         val START_DELAY = 400.milliseconds
-
-        /** Less than half of the 6 s after which the previous weights must not be used. */
-        val URGENT_STALENESS = 2500.milliseconds
         val RETRY_DELAY = 100.milliseconds
 
-        /** An order counts as failed by then: the longest stream and the load together take less than two seconds. */
-        val ORDER_TIMEOUT = 4.seconds
+        /** A load takes a fraction of a second, after the running requests have ended. */
+        val INITIAL_LOAD_TIME = 700.milliseconds
+
+        /** A load that waits longer for running requests does not hold up other replicas. */
+        val MAX_OCCUPIED_TIME = 2.seconds
+
+        /** Longer than the order of a load is followed. */
+        val ORDER_TIMEOUT = 15.seconds
         const val MAX_CONCURRENT_SHARE = 0.28
+
+        /** The other half serves until the weights before may not be used any more. */
+        const val MAX_LATE_CONCURRENT_SHARE = 0.5
+        const val UNKNOWN_AGE_SHARE = 0.6
     }
 }
--- a/core/src/test/kotlin/org/guavapath/core/weights/RolloutTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/RolloutTest.kt
@@ -51,6 +51,62 @@
         assertEquals(listOf(3L), orders.map { it.target.number })
     }
 
+    /**
+     * Orders of a rollout of [replicas] replicas, all on weights 1, if each load takes [loadTime].
+     *
+     * @property begun when the VM that orders the loads began, after the target was named
+     * @property expected when the last replica must have been ordered
+     */
+    private class Pace(
+        val replicas: Int,
+        val loadTime: Duration,
+        val begun: Duration,
+        val expected: Duration,
+        val isWitnessed: Boolean = true,
+    )
+
+    private val paces = listOf(6, 82, 1_400).flatMap { replicas ->
+        listOf(
+            Pace(replicas, 500.milliseconds, Duration.ZERO, 3.seconds),
+            Pace(replicas, 1500.milliseconds, Duration.ZERO, 5.seconds),
+            Pace(replicas, 2500.milliseconds, Duration.ZERO, 5100.milliseconds),
+            Pace(replicas, 8.seconds, Duration.ZERO, 5100.milliseconds),
+            Pace(replicas, 700.milliseconds, 4.seconds, 5100.milliseconds),
+            Pace(replicas, 2500.milliseconds, 4.seconds, 5100.milliseconds),
+            Pace(replicas, 700.milliseconds, 5.seconds, 5100.milliseconds),
+            Pace(replicas, 700.milliseconds, 3.seconds, 5100.milliseconds, isWitnessed = false),
+        )
+    }
+
+    /** Guards against replicas that are not ordered as long as the weights before may be used. */
+    @Test
+    fun allReplicasAreOrderedWhileTheWeightsBeforeMayBeUsed() = paces.forEach { pace ->
+        val targets = TargetWeights()
+        val seenAt = MonotonicTime.ZERO + if (pace.isWitnessed) Duration.ZERO else pace.begun
+        targets.setTarget(model, WeightsNumber(2), seenAt, pace.isWitnessed)
+        val rollout = Rollout()
+        val weights = LongArray(pace.replicas) { 1 }
+        val ends = HashMap<ReplicaId, MonotonicTime>()
+        var lastOrder = Duration.ZERO
+        var mostAtOnce = 0
+        for (step in 0..100) {
+            val now = MonotonicTime.ZERO + pace.begun + 100.milliseconds * step
+            ends.filterValues { it <= now }.keys.forEach { id ->
+                weights[id.text.drop(1).toInt()] = 2
+                rollout.ended(id, isDone = true, now)
+                ends.remove(id)
+            }
+            val orders = rollout.next(model, targets, replicas(*weights), now)
+            orders.forEach { ends[it.replica] = now + pace.loadTime }
+            if (orders.isNotEmpty()) lastOrder = now - MonotonicTime.ZERO
+            if (now - MonotonicTime.ZERO < 4900.milliseconds) mostAtOnce = maxOf(mostAtOnce, orders.size)
+        }
+        val name = "${pace.replicas} replicas, loads of ${pace.loadTime}, begun after ${pace.begun}"
+        assertEquals(pace.replicas, weights.count { it == 2L } + ends.size, name)
+        assertTrue(lastOrder <= pace.expected, "$name: the last was ordered after $lastOrder")
+        assertTrue(mostAtOnce <= (pace.replicas + 1) / 2, "$name: $mostAtOnce at once")
+    }
+
     /** Load pattern: a new target every 2.4 s while half of the orders get no response. */
     @Test
     fun allReplicasReachNewTargetsWithinTheBound() {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
@@ -79,7 +79,7 @@
             loader.load(order, replica, token) {
                 val message = PeerMessage.ReplicaLoading(
                     order.replica.text,
-                    WeightsLoader.LOAD_TIMEOUT.inWholeMilliseconds,
+                    WeightsLoader.LOADING_PERIOD.inWholeMilliseconds,
                 )
                 loading(message)
                 peers.broadcast(message)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
@@ -13,6 +13,7 @@
 import org.guavapath.platform.wire.OrderReply
 import org.guavapath.platform.wire.ReplicaCodec
 import org.guavapath.platform.wire.ReplicaReport
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -35,8 +36,12 @@
     private val client: ReplicaControlClient,
     private val log: GatewayLog,
 ) {
-    /** Sends [order] to [replica] with [fencingToken]; calls [onOrder] right before. */
-    suspend fun load(order: WeightsOrder, replica: Replica, fencingToken: Long, onOrder: () -> Unit): LoadOutcome {
+    /**
+     * Sends [order] to [replica] with [fencingToken].
+     *
+     * @param onLoading called right before, and again while the replica loads, at least once in [LOADING_PERIOD]
+     */
+    suspend fun load(order: WeightsOrder, replica: Replica, fencingToken: Long, onLoading: () -> Unit): LoadOutcome {
         val before = report(replica)
         val reason = when {
             before == null -> "no report"
@@ -51,19 +56,18 @@
                 LoadOutcome.FAILED
             }
             else -> {
-                onOrder()
-                awaitOutcome(sendOrder(order, replica, fencingToken, before.acceptedOrders), order, replica)
+                onLoading()
+                when (sendOrder(order, replica, fencingToken, before.acceptedOrders)) {
+                    OrderReply.DONE -> LoadOutcome.DONE
+                    OrderReply.ACCEPTED -> awaitTarget(order, replica, MAX_LOAD_TIME, onLoading)
+                    null -> awaitTarget(order, replica, LOADING_PERIOD, onLoading)
+                    OrderReply.FENCED -> LoadOutcome.FENCED
+                    OrderReply.BUSY, OrderReply.REFUSED -> LoadOutcome.FAILED
+                }
             }
         }
     }
 
-    private suspend fun awaitOutcome(reply: OrderReply?, order: WeightsOrder, replica: Replica) = when (reply) {
-        OrderReply.DONE -> LoadOutcome.DONE
-        OrderReply.ACCEPTED, null -> awaitTarget(order, replica)
-        OrderReply.FENCED -> LoadOutcome.FENCED
-        OrderReply.BUSY, OrderReply.REFUSED -> LoadOutcome.FAILED
-    }
-
     private suspend fun sendOrder(
         order: WeightsOrder,
         replica: Replica,
@@ -87,16 +91,33 @@
         return reply
     }
 
-    private suspend fun awaitTarget(order: WeightsOrder, replica: Replica): LoadOutcome {
+    private suspend fun awaitTarget(
+        order: WeightsOrder,
+        replica: Replica,
+        timeout: Duration,
+        onLoading: () -> Unit,
+    ): LoadOutcome {
         val orderedAt = MonotonicTime.now()
-        val isDone = withTimeoutOrNull(LOAD_TIMEOUT) {
+        var announcedAt = orderedAt
+        var reportedAt = orderedAt
+        val isDone = withTimeoutOrNull(timeout) {
             var idleReports = 0
             var isLoaded = false
             while (!isLoaded && idleReports <= MAX_IDLE_REPORTS) {
                 delay(POLL_INTERVAL)
                 val report = report(replica)
+                val now = MonotonicTime.now()
                 isLoaded = report != null && hasTarget(report, order) && !report.isLoading
-                if (report != null) idleReports = if (report.isLoading) 0 else idleReports + 1
+                if (report != null) {
+                    reportedAt = now
+                    idleReports = if (report.isLoading) 0 else idleReports + 1
+                } else if (now - reportedAt > LOADING_PERIOD) {
+                    break
+                }
+                if (report?.isLoading == true && now - announcedAt > LOADING_PERIOD / 2) {
+                    announcedAt = now
+                    onLoading()
+                }
             }
             isLoaded
         }
@@ -131,8 +152,11 @@
         /** Longer than the lag of reports (100 ms), shorter than a load (210 ms after the last request has ended). */
         private val POLL_INTERVAL = 120.milliseconds
 
-        /** A load waits for the running requests, which end within about a second, and takes a fraction of a second. */
-        val LOAD_TIMEOUT = 2.seconds
+        /** For how long a replica is taken to load weights after it was last known to. */
+        val LOADING_PERIOD = 2.seconds
+
+        /** A load waits for the running requests, at most for the callers' longest deadline. */
+        private val MAX_LOAD_TIME = 12.seconds
 
         /** After more reports in a row without a load in progress, the order counts as failed. */
         private const val MAX_IDLE_REPORTS = 1
