--- a/core/src/main/kotlin/org/guavapath/core/weights/ReplacedWeightsPolicy.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/ReplacedWeightsPolicy.kt
@@ -42,6 +42,9 @@
         require(bound > RESERVE) { "the bound is $bound" }
     }
 
+    /** Time since a target was named in which requests may be sent to the weights before it. */
+    public val usableFor: Duration get() = bound - RESERVE
+
     /** Time since a target was named by which requests that wait on the weights before it must have begun. */
     public val latestBeginning: Duration get() = bound - TAKE_BACK_TIME
 
@@ -56,7 +59,7 @@
         Staleness.Current -> WeightsUse.Unlimited
         is Staleness.Replaced -> {
             val timeLeft = latestBeginning - staleness.age
-            if (staleness.age < bound - RESERVE && expectedWait < timeLeft) {
+            if (staleness.age < usableFor && expectedWait < timeLeft) {
                 WeightsUse.Limited(timeLeft)
             } else {
                 WeightsUse.Forbidden
--- a/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
@@ -43,7 +43,7 @@
  * @param startDelay how long after the newest target was set the first replica is ordered
  */
 public class Rollout(
-    private val usableFor: Duration = ReplacedWeightsPolicy.DEFAULT_BOUND - ReplacedWeightsPolicy.RESERVE,
+    private val usableFor: Duration = ReplacedWeightsPolicy().usableFor,
     private val startDelay: Duration = START_DELAY,
 ) {
     private class Attempt(val order: WeightsOrder, val startedAt: MonotonicTime)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
@@ -13,7 +13,12 @@
 import org.guavapath.core.weights.TargetWeights
 
 /** This VM's view of the fleet. Confined to the event loop. */
-internal class FleetState(domain: FailureDomainName, startedAt: MonotonicTime, isFirstStart: Boolean) {
+internal class FleetState(
+    domain: FailureDomainName,
+    startedAt: MonotonicTime,
+    isFirstStart: Boolean,
+    val replacedWeights: ReplacedWeightsPolicy = ReplacedWeightsPolicy(),
+) {
     val replicas = ReplicaRegistry()
     val directory = PromptDirectory()
     val weights = TargetWeights()
@@ -21,5 +26,5 @@
     val rates = NamedRates()
     val quota = FleetQuota(startedAt, isFirstStart)
     val stalls = StallDetector()
-    val placement = Placement(domain, replicas, directory, weights, ReplacedWeightsPolicy(), startedAt)
+    val placement = Placement(domain, replicas, directory, weights, replacedWeights, startedAt)
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -41,7 +41,8 @@
     private val log = telemetry.log
     private val store = EraTrackingStore(objectStore, log)
     private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher() + log.taskFailures())
-    private val fleet = FleetState(settings.failureDomain, MonotonicTime.now(), settings.isFirstStart)
+    private val fleet =
+        FleetState(settings.failureDomain, MonotonicTime.now(), settings.isFirstStart, settings.replacedWeights)
     private val operator = OperatorState(fleet, log)
     private val pool = ReplicaPool(loop)
     private val replicas = ReplicaList(fleet, pool, store, log)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewaySettings.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewaySettings.kt
@@ -12,6 +12,7 @@
 import org.guavapath.core.schema.Schema
 import org.guavapath.core.schema.SchemaFault
 import org.guavapath.core.schema.record
+import org.guavapath.core.weights.ReplacedWeightsPolicy
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -49,6 +50,8 @@
  * @property repeatRatio retries allowed for each request
  * @property repeatWindowSeconds window over which [repeatRatio] holds
  * @property repeatSlack retries that the whole fleet may send beyond the ratio in a window
+ * @property replacedWeightsMilliseconds time after which no request may begin on weights that were replaced
+ * @property startupGraceMilliseconds time after its start in which a gateway is not held to that
  */
 @Serializable
 internal data class GatewaySettings(
@@ -67,10 +70,14 @@
     val repeatRatio: Double,
     val repeatWindowSeconds: Long,
     val repeatSlack: Double,
+    val replacedWeightsMilliseconds: Long = ReplacedWeightsPolicy.DEFAULT_BOUND.inWholeMilliseconds,
+    val startupGraceMilliseconds: Long = ReplacedWeightsPolicy.DEFAULT_STARTUP_GRACE.inWholeMilliseconds,
 ) {
     val drainTimeout: Duration get() = drainMilliseconds.milliseconds
     val usableProcessors: Double get() = processors * processorShare
     val repeatWindow: Duration get() = repeatWindowSeconds.seconds
+    val replacedWeights: ReplacedWeightsPolicy
+        get() = ReplacedWeightsPolicy(replacedWeightsMilliseconds.milliseconds, startupGraceMilliseconds.milliseconds)
 
     companion object {
         private val name = Schema.Text(
@@ -80,6 +87,9 @@
         private val address = Schema.Text(Regex("[0-9.]+:[0-9]{1,5}"), "an IP address and a port, as in 10.0.0.1:7000")
         private val secret = Schema.Text(Regex(".{16,256}"), "16 to 256 characters")
         private val count = Schema.WholeNumber(0, MAX_NUMBER)
+
+        /** Twice the reserve of the policy. */
+        private val MIN_WEIGHTS_BOUND = 2 * ReplacedWeightsPolicy.RESERVE.inWholeMilliseconds
         private val schema = record {
             required("vm", name)
             required("failureDomain", name)
@@ -96,6 +106,8 @@
             required("repeatRatio", Schema.Number(0.0, MAX_REPEAT_RATIO))
             required("repeatWindowSeconds", count)
             required("repeatSlack", Schema.Number(0.0, MAX_NUMBER.toDouble()))
+            optional("replacedWeightsMilliseconds", Schema.WholeNumber(MIN_WEIGHTS_BOUND, MAX_NUMBER))
+            optional("startupGraceMilliseconds", count)
         }
 
         /** Parses the settings in [text]; the error lists every fault. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
@@ -28,7 +28,7 @@
     private val loader: WeightsLoader,
     private val peers: RolloutPeers,
 ) {
-    private val rollout = Rollout()
+    private val rollout = Rollout(fleet.replacedWeights.usableFor)
 
     suspend fun run(scope: CoroutineScope) {
         while (true) {
