Replicas of unknown weights are asked for the newest and ordered to load them

A rejection without a number (421) was recorded as if the replica had the newest weights, so that it got no order until its entry changed. It is only assumed now, for two seconds and for requests that the replica rejects if it is wrong.

--- a/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -149,7 +149,11 @@
         if (prompt == null) WeightsUse.Unlimited else policy.use(staleness(record, prompt, now), wait, now - startedAt)
 
     private fun staleness(record: ReplicaRecord, prompt: PromptShape, now: MonotonicTime): Staleness =
-        record.weights(prompt.model)?.let { weights.staleness(prompt.model, it, now) } ?: Staleness.Current
+        expectedWeights(record, prompt, now)?.let { weights.staleness(prompt.model, it, now) } ?: Staleness.Current
+
+    /** A replica of unknown weights rejects requests that expect the newest if it does not have these. */
+    private fun expectedWeights(record: ReplicaRecord, prompt: PromptShape, now: MonotonicTime): WeightsNumber? =
+        record.expectedWeights(prompt.model, now) ?: weights.newest(prompt.model)
 
     /** Scores candidates for one request; replicas with the same weights share a path and its sources. */
     private inner class Scorer(
@@ -173,7 +177,7 @@
         private fun score(record: ReplicaRecord): ScoredReplica {
             val prompt = request.prompt ?: return scorePlain(record)
             val load = record.load(now)
-            val number = record.weights(prompt.model)
+            val number = expectedWeights(record, prompt, now)
             val (path, sources) = paths.getOrPut(number) { sourcesOf(prompt, number) }
             val held = directory.heldTokens(path, record.entry.id, Certainty.LIKELY, now)
             val source = sources.best(record.entry.id)
--- a/core/src/main/kotlin/org/guavapath/core/placement/ReplicaRegistry.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/ReplicaRegistry.kt
@@ -31,8 +31,11 @@
 public class ReplicaRecord(entry: Replica) {
     private class PeerReport(val load: ReplicaLoad, val at: MonotonicTime)
 
+    private class Assumption(val number: WeightsNumber, val until: MonotonicTime)
+
     private val peerReports = HashMap<VmId, PeerReport>()
     private val observedWeights = HashMap<ModelName, WeightsNumber>()
+    private val assumedWeights = HashMap<ModelName, Assumption>()
 
     /** The latest listed entry. */
     public var entry: Replica = entry
@@ -63,6 +66,20 @@
         return if (listed == null || seen == null) seen ?: listed else maxOf(listed, seen)
     }
 
+    /** Returns the weights that a request should expect, which may be assumed at [now]; null if unknown. */
+    public fun expectedWeights(model: ModelName, now: MonotonicTime): WeightsNumber? {
+        val assumed = assumedWeights[model]?.takeIf { it.until > now }?.number
+        return listOfNotNull(weights(model), assumed).maxOrNull()
+    }
+
+    /**
+     * Assumes until [until] that the replica has weights [number], as it does not have those that were expected. Only
+     * requests that the replica rejects otherwise may rely on that.
+     */
+    public fun assumeWeights(model: ModelName, number: WeightsNumber, until: MonotonicTime) {
+        assumedWeights[model] = Assumption(number, until)
+    }
+
     /** Records weights reported by a response or by the VM that ordered them; older ones are ignored. */
     public fun recordWeights(model: ModelName, number: WeightsNumber) {
         if (weights(model).let { it == null || it < number }) observedWeights[model] = number
--- a/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
@@ -13,10 +13,10 @@
  * State of a replica that the rollout depends on.
  *
  * @property id its identity
- * @property weights weights that it has loaded
+ * @property weights weights that it has loaded, null if they are not known
  * @property load number of queued and running requests
  */
-public data class RolloutReplica(public val id: ReplicaId, public val weights: WeightsNumber, public val load: Int)
+public data class RolloutReplica(public val id: ReplicaId, public val weights: WeightsNumber?, public val load: Int)
 
 /**
  * An order for one replica to load new weights.
@@ -64,13 +64,16 @@
     ): List<WeightsOrder> {
         val target = targets.newest(model) ?: return emptyList()
         removeStale(replicas, now)
-        val outdated = replicas.filter { it.weights < target }
+        val outdated = replicas.filter { it.weights == null || it.weights < target }
         if (outdated.isEmpty()) {
             usualLoadTime = INITIAL_LOAD_TIME
             return emptyList()
         }
-        val age = outdated.maxOf { age(targets.staleness(model, it.weights, now)) }
-        val isDue = age > usableFor / 2 || targets.sinceNewest(model, now) >= startDelay
+        val sinceNewest = targets.sinceNewest(model, now)
+        val age = outdated.maxOf { replica ->
+            replica.weights?.let { age(targets.staleness(model, it, now)) } ?: sinceNewest
+        }
+        val isDue = age > usableFor / 2 || sinceNewest >= startDelay
         val occupied = active.values.count { now - it.startedAt < MAX_OCCUPIED_TIME }
         val free = if (isDue) concurrency(replicas.size, outdated.size, usableFor - age, now) - occupied else 0
         return outdated
--- a/core/src/test/kotlin/org/guavapath/core/placement/PlacementTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/placement/PlacementTest.kt
@@ -97,6 +97,27 @@
         assertTrue(TestVm(four).refuses(request(prompt("a", "b"), excluded = four.map { it.id }.toSet())))
     }
 
+    /** Guards against requests that run on old weights because nobody knows which ones their replica has. */
+    @Test
+    fun requestsToReplicasOfUnknownWeightsExpectTheNewest() {
+        val cases = listOf(
+            Triple("unknown", emptyMap(), 3L),
+            Triple("listed", mapOf(model to WeightsNumber(2)), 2L),
+        )
+        cases.forEach { (name, weights, expected) ->
+            val vm = TestVm(listOf(replica("r1").copy(weights = weights)))
+            vm.weights.setTarget(model, WeightsNumber(2), MonotonicTime.ZERO)
+            vm.weights.setTarget(model, WeightsNumber(3), now)
+            assertEquals(WeightsNumber(expected), vm.choose(request(prompt("a", "b"))).weights, name)
+            val record = checkNotNull(vm.replicas[ReplicaId("r1")])
+            record.assumeWeights(model, WeightsNumber(3), now + 1.seconds)
+            assertEquals(WeightsNumber(3), vm.choose(request(prompt("a", "b"))).weights, "$name, assumed")
+            assertEquals(weights[model], record.weights(model), "$name: an assumption is not known")
+            val later = vm.choose(request(prompt("a", "b")), now + 1.seconds)
+            assertEquals(WeightsNumber(expected), later.weights, "$name, assumed before")
+        }
+    }
+
     /** Guards against requests that are sent in time to replaced weights and begin too late behind those that wait. */
     @Test
     fun requestsThatWouldBeginTooLateOnReplacedWeightsGoElsewhere() {
--- a/core/src/test/kotlin/org/guavapath/core/weights/RolloutTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/RolloutTest.kt
@@ -42,6 +42,15 @@
         assertEquals(listOf("r2"), next.map { it.replica.text })
     }
 
+    /** Guards against replicas that get no order as their weights are not known. */
+    @Test
+    fun replicasOfUnknownWeightsAreOrderedFirst() {
+        val targets = TargetWeights().apply { setTarget(model, WeightsNumber(2), MonotonicTime.ZERO) }
+        val fleet = replicas(2, 1, 2) + RolloutReplica(ReplicaId("r9"), weights = null, load = 5)
+        val orders = Rollout().next(model, targets, fleet, MonotonicTime.ZERO + 1.seconds)
+        assertEquals(listOf("r9", "r1"), orders.map { it.replica.text })
+    }
+
     @Test
     fun theRolloutWaitsOnlyBrieflyForANewerTarget() {
         val targets = TargetWeights().apply { setTarget(model, WeightsNumber(2), MonotonicTime.ZERO) }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -4,6 +4,7 @@
 import org.guavapath.core.dispatch.AdmissionDecision
 import org.guavapath.core.dispatch.SendHistory
 import org.guavapath.core.fleet.ReplicaId
+import org.guavapath.core.identity.ModelName
 import org.guavapath.core.placement.PlacementRequest
 import org.guavapath.core.placement.PlacementResult
 import org.guavapath.core.placement.ScoredReplica
@@ -127,11 +128,22 @@
     /** Updates the replica's record after a misdirected request: other weights, or another replica at its address. */
     fun recordMisdirection(attempt: Attempt, head: ReplicaResponseHead) {
         val record = attempt.choice.record
-        val model = admitted.request.prompt?.model
+        val now = MonotonicTime.now()
         if (head.replica != null && head.replica != record.entry.id) {
-            record.loadingUntil = MonotonicTime.now() + MISDIRECTION_BACKOFF
-        } else if (model != null && head.weights == null) {
-            context.fleet.weights.newest(model)?.let { record.recordWeights(model, it) }
+            record.loadingUntil = now + MISDIRECTION_BACKOFF
+        } else {
+            admitted.request.prompt?.model?.let { recordOtherWeights(attempt, it, now) }
+        }
+    }
+
+    /** The replica most likely has loaded the newest weights; if it has rejected these, its weights are not known. */
+    private fun recordOtherWeights(attempt: Attempt, model: ModelName, now: MonotonicTime) {
+        val newest = context.fleet.weights.newest(model)
+        val record = attempt.choice.record
+        if (newest == null || attempt.choice.weights == newest) {
+            record.loadingUntil = maxOf(record.loadingUntil, now + UNKNOWN_WEIGHTS_BACKOFF)
+        } else {
+            record.assumeWeights(model, newest, now + MISDIRECTION_BACKOFF)
         }
     }
 
@@ -152,5 +164,8 @@
 
         /** The replica list is up to date within two seconds of an address change. */
         val MISDIRECTION_BACKOFF = 2000.milliseconds
+
+        /** Orders to load weights, which ask a replica for those that it has, are sent several times a second. */
+        val UNKNOWN_WEIGHTS_BACKOFF = 300.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
@@ -60,9 +60,9 @@
 
     private suspend fun step(scope: CoroutineScope, model: ModelName) {
         val now = MonotonicTime.now()
-        val replicas = fleet.replicas.all.filter { !it.entry.isDraining }.mapNotNull { record ->
-            record.weights(model)?.let { RolloutReplica(record.entry.id, it, record.load(now).requests) }
-        }
+        val serving = fleet.replicas.all.filter { it.weights(model) != null }.map { it.entry.service }.toSet()
+        val replicas = fleet.replicas.all.filter { !it.entry.isDraining && it.entry.service in serving }
+            .map { RolloutReplica(it.entry.id, it.weights(model), it.load(now).requests) }
         val orders = rollout.next(model, fleet.weights, replicas, now)
         if (orders.isEmpty()) return
         val token = lease.confirmedToken()
