A replica that lags behind does not make all others load at once

Only replicas whose own weights may not be used any more are ordered without a limit. Loads that another gateway ordered count too, and so do those that last longer than two seconds: five of six replicas could load at a time.

--- a/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
@@ -15,8 +15,14 @@
  * @property id its identity
  * @property weights weights that it has loaded, null if they are not known
  * @property load number of queued and running requests
+ * @property isLoading whether it is known to load weights, ordered by any VM
  */
-public data class RolloutReplica(public val id: ReplicaId, public val weights: WeightsNumber?, public val load: Int)
+public data class RolloutReplica(
+    public val id: ReplicaId,
+    public val weights: WeightsNumber?,
+    public val load: Int,
+    public val isLoading: Boolean = false,
+)
 
 /**
  * An order for one replica to load new weights.
@@ -35,9 +41,10 @@
  * Decides which replicas load new weights next.
  *
  * Loading is expensive and clears the cache, so the rollout first waits briefly for an even newer target. It then
- * updates a few replicas at a time while the others serve the traffic: those with the oldest weights first, and of
- * those the least loaded. If loads take so long, or began so late, that not all replicas would be ordered while the
- * weights before may still be used, more load at a time; replicas whose weights may not be used any more all do.
+ * updates a few replicas at a time while the others serve the traffic: those with the oldest weights first, of those
+ * the ones whose orders do not fail, and of those the least loaded. If loads take so long, or began so late, that not
+ * all replicas would be ordered while the weights before may still be used, more load at a time. Replicas whose weights
+ * may not be used any more serve no requests, so that they all load at once.
  *
  * @param usableFor how long weights may be used after newer ones were named
  * @param startDelay how long after the newest target was set the first replica is ordered
@@ -48,8 +55,11 @@
 ) {
     private class Attempt(val order: WeightsOrder, val startedAt: MonotonicTime)
 
+    /** Orders in a row that failed. */
+    private class Failures(val count: Int, val retryAt: MonotonicTime)
+
     private val active = HashMap<ReplicaId, Attempt>()
-    private val retryAt = HashMap<ReplicaId, MonotonicTime>()
+    private val failures = HashMap<ReplicaId, Failures>()
     private var usualLoadTime = INITIAL_LOAD_TIME
 
     /** Replicas whose order has not ended yet. */
@@ -69,37 +79,48 @@
             usualLoadTime = INITIAL_LOAD_TIME
             return emptyList()
         }
-        val sinceNewest = targets.sinceNewest(model, now)
-        val age = outdated.maxOf { replica ->
-            replica.weights?.let { age(targets.staleness(model, it, now)) } ?: sinceNewest
-        }
-        val isDue = age > usableFor / 2 || sinceNewest >= startDelay
-        val occupied = active.values.count { now - it.startedAt < MAX_OCCUPIED_TIME }
-        val free = if (isDue) concurrency(replicas.size, outdated.size, usableFor - age, now) - occupied else 0
-        return outdated
-            .filter { it.id !in active && (retryAt[it.id] ?: MonotonicTime.ZERO) <= now }
-            .sortedWith(compareBy<RolloutReplica> { it.weights }.thenBy { it.load })
-            .take(maxOf(0, free))
+        val ages = outdated.associate { it.id to age(model, targets, it, now) }
+        val (unusable, usable) = outdated.filter { isFree(it, now) }.partition { ages.getValue(it.id) >= usableFor }
+        val stillUsable = ages.filterValues { it < usableFor }
+        val age = stillUsable.values.maxOrNull() ?: Duration.ZERO
+        val isDue = age > usableFor / 2 || targets.sinceNewest(model, now) >= startDelay
+        val loading = active.keys + replicas.filter { it.isLoading }.map { it.id } - (ages.keys - stillUsable.keys)
+        val most = if (isDue) concurrency(replicas.size, stillUsable.size, usableFor - age, now) else 0
+        val next = usable.sortedWith(compareBy({ it.weights }, { failureRank(it) }, { it.load }))
+            .take(maxOf(0, most - loading.size))
+        return (unusable + next)
             .map { replica -> WeightsOrder(replica.id, model, target).also { active[replica.id] = Attempt(it, now) } }
     }
 
+    private fun failureRank(replica: RolloutReplica): Int = (failures[replica.id]?.count ?: 0) / RETRIES_AT_FIRST
+
+    private fun isFree(replica: RolloutReplica, now: MonotonicTime): Boolean =
+        replica.id !in active && (failures[replica.id]?.retryAt ?: MonotonicTime.ZERO) <= now
+
+    private fun age(model: ModelName, targets: TargetWeights, replica: RolloutReplica, now: MonotonicTime): Duration {
+        val weights = replica.weights ?: return targets.sinceNewest(model, now)
+        return when (val staleness = targets.staleness(model, weights, now)) {
+            Staleness.Current -> Duration.ZERO
+            is Staleness.Replaced -> staleness.age
+            is Staleness.Unknown -> maxOf(staleness.atLeast, usableFor * UNKNOWN_AGE_SHARE)
+        }
+    }
+
     /** Records that the order for [replica] ended; if it failed, it is retried after a delay. */
     public fun ended(replica: ReplicaId, isDone: Boolean, now: MonotonicTime) {
         val attempt = active.remove(replica)
-        if (isDone) retryAt.remove(replica) else retryAt[replica] = now + RETRY_DELAY
+        if (isDone) {
+            failures.remove(replica)
+        } else {
+            failures[replica] = Failures((failures[replica]?.count ?: 0) + 1, now + RETRY_DELAY)
+        }
         if (isDone && attempt != null) usualLoadTime = (usualLoadTime + (now - attempt.startedAt)) / 2
     }
 
-    private fun age(staleness: Staleness): Duration = when (staleness) {
-        Staleness.Current -> Duration.ZERO
-        is Staleness.Replaced -> staleness.age
-        is Staleness.Unknown -> maxOf(staleness.atLeast, usableFor * UNKNOWN_AGE_SHARE)
-    }
-
     private fun removeStale(replicas: List<RolloutReplica>, now: MonotonicTime) {
         val present = replicas.map { it.id }.toSet()
         active.values.removeIf { it.order.replica !in present || now - it.startedAt > ORDER_TIMEOUT }
-        retryAt.keys.retainAll(present)
+        failures.keys.retainAll(present)
     }
 
     /**
@@ -108,7 +129,6 @@
      * @param timeLeft time in which the weights of the [outdated] replicas may still be used
      */
     private fun concurrency(replicas: Int, outdated: Int, timeLeft: Duration, now: MonotonicTime): Int {
-        if (timeLeft <= Duration.ZERO) return replicas
         val longest = active.values.maxOfOrNull { now - it.startedAt } ?: Duration.ZERO
         val rounds = 1 + (timeLeft / maxOf(usualLoadTime, longest)).toInt()
         val needed = ceil(outdated.toDouble() / rounds).toInt()
@@ -129,9 +149,6 @@
         /** A load takes a fraction of a second, after the running requests have ended. */
         val INITIAL_LOAD_TIME = 700.milliseconds
 
-        /** A load that waits longer for running requests does not hold up other replicas. */
-        val MAX_OCCUPIED_TIME = 2.seconds
-
         /** Longer than the order of a load is followed. */
         val ORDER_TIMEOUT = 15.seconds
         const val MAX_CONCURRENT_SHARE = 0.28
@@ -139,5 +156,8 @@
         /** The other half serves until the weights before may not be used any more. */
         const val MAX_LATE_CONCURRENT_SHARE = 0.5
         const val UNKNOWN_AGE_SHARE = 0.6
+
+        /** A lost response is more likely than a replica that fails all orders. */
+        const val RETRIES_AT_FIRST = 2
     }
 }
--- a/core/src/test/kotlin/org/guavapath/core/weights/RolloutTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/RolloutTest.kt
@@ -42,6 +42,27 @@
         assertEquals(listOf("r2"), next.map { it.replica.text })
     }
 
+    /** Guards against a replica that lags behind and makes all others load at once, so that none serves. */
+    @Test
+    fun replicasThatMayNotBeUsedDoNotCountAgainstTheOthers() {
+        val cases = listOf(
+            Triple("one is two targets behind", replicas(1, 2, 2, 2, 2, 2), listOf("r0", "r1", "r2")),
+            Triple("all are two targets behind", replicas(1, 1, 1), listOf("r0", "r1", "r2")),
+            Triple(
+                "another VM has ordered two",
+                replicas(2, 2, 2, 2, 2, 2).mapIndexed { index, it -> it.copy(isLoading = index > 3) },
+                emptyList(),
+            ),
+        )
+        cases.forEach { (name, fleet, expected) ->
+            val targets = TargetWeights()
+            targets.setTarget(model, WeightsNumber(2), MonotonicTime.ZERO)
+            targets.setTarget(model, WeightsNumber(3), MonotonicTime.ZERO + 9.seconds)
+            val orders = Rollout().next(model, targets, fleet, MonotonicTime.ZERO + 9500.milliseconds)
+            assertEquals(expected, orders.map { it.replica.text }, name)
+        }
+    }
+
     /** Guards against replicas that get no order as their weights are not known. */
     @Test
     fun replicasOfUnknownWeightsAreOrderedFirst() {
@@ -51,6 +72,21 @@
         assertEquals(listOf("r9", "r1"), orders.map { it.replica.text })
     }
 
+    /** Guards against orders that go to the same replicas again and again while others get none. */
+    @Test
+    fun replicasWhoseOrdersFailWaitForTheOthers() {
+        val targets = TargetWeights().apply { setTarget(model, WeightsNumber(2), MonotonicTime.ZERO) }
+        val rollout = Rollout()
+        val ordered = ArrayList<String>()
+        for (step in 0 until 8) {
+            val now = MonotonicTime.ZERO + 1.seconds + 300.milliseconds * step
+            val orders = rollout.next(model, targets, replicas(1, 1, 1, 1, 1, 1, 1, 1), now).map { it.replica }
+            orders.forEach { rollout.ended(it, isDone = false, now + 200.milliseconds) }
+            ordered += orders.map { it.text }
+        }
+        assertEquals(8, ordered.take(2 * 9).toSet().size, ordered.toString())
+    }
+
     @Test
     fun theRolloutWaitsOnlyBrieflyForANewerTarget() {
         val targets = TargetWeights().apply { setTarget(model, WeightsNumber(2), MonotonicTime.ZERO) }
@@ -108,7 +144,7 @@
             val orders = rollout.next(model, targets, replicas(*weights), now)
             orders.forEach { ends[it.replica] = now + pace.loadTime }
             if (orders.isNotEmpty()) lastOrder = now - MonotonicTime.ZERO
-            if (now - MonotonicTime.ZERO < 4900.milliseconds) mostAtOnce = maxOf(mostAtOnce, orders.size)
+            if (now - MonotonicTime.ZERO < 4900.milliseconds) mostAtOnce = maxOf(mostAtOnce, ends.size)
         }
         val name = "${pace.replicas} replicas, loads of ${pace.loadTime}, begun after ${pace.begun}"
         assertEquals(pace.replicas, weights.count { it == 2L } + ends.size, name)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
@@ -62,7 +62,7 @@
         val now = MonotonicTime.now()
         val serving = fleet.replicas.all.filter { it.weights(model) != null }.map { it.entry.service }.toSet()
         val replicas = fleet.replicas.all.filter { !it.entry.isDraining && it.entry.service in serving }
-            .map { RolloutReplica(it.entry.id, it.weights(model), it.load(now).requests) }
+            .map { RolloutReplica(it.entry.id, it.weights(model), it.load(now).requests, it.loadingUntil > now) }
         val orders = rollout.next(model, fleet.weights, replicas, now)
         if (orders.isEmpty()) return
         val token = lease.confirmedToken()
