A change that is seen late does not make a target younger than it is

Every gateway asks the others after each name, at once and a second later; a change that is seen later than another gateway knew of the target is no evidence of when it was named. Responses of the store give a time at which a revision was not written yet, which dates a target that was only found, also when the store returns just after it was named. A clock that may have stood still leaves only such a bound, so that a time of day set forward does not age targets for good. A gateway that has not been able to read the targets takes no weights for the newest.

StallDetectorTest ticks as often as the gateway does, as stalls of 0.3 s count now.

--- a/core/src/main/kotlin/org/guavapath/core/time/StallDetector.kt
+++ b/core/src/main/kotlin/org/guavapath/core/time/StallDetector.kt
@@ -48,8 +48,8 @@
     }
 
     private companion object {
-        /** Longer than ticks and clocks are late under load. */
-        val TOLERANCE = 600.milliseconds
+        /** Longer than the time between ticks. */
+        val TOLERANCE = 300.milliseconds
 
         /** Time within which a process has handled what arrived while it did not run. */
         val BACKLOG_TIME = 1000.milliseconds
--- a/core/src/main/kotlin/org/guavapath/core/weights/ReplacedWeightsPolicy.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/ReplacedWeightsPolicy.kt
@@ -59,15 +59,15 @@
         Staleness.Current -> WeightsUse.Unlimited
         is Staleness.Replaced -> {
             val timeLeft = latestBeginning - staleness.age
-            if (staleness.age < usableFor && expectedWait < timeLeft) {
+            if (staleness.age < usableFor && expectedWait * WAIT_FACTOR < timeLeft) {
                 WeightsUse.Limited(timeLeft)
             } else {
                 WeightsUse.Forbidden
             }
         }
         is Staleness.Unknown -> {
-            val timeLeft = minOf(startupGrace - uptime, latestBeginning - staleness.atLeast) - TAKE_BACK_TIME
-            if (expectedWait < timeLeft) WeightsUse.LastResort(timeLeft) else WeightsUse.Forbidden
+            val timeLeft = minOf(startupGrace - uptime, latestBeginning - staleness.atLeast) - START_TIME
+            if (expectedWait * WAIT_FACTOR < timeLeft) WeightsUse.LastResort(timeLeft) else WeightsUse.Forbidden
         }
     }
 
@@ -84,5 +84,11 @@
 
         /** A replica drops a request some time after its connection was closed. */
         private val TAKE_BACK_TIME: Duration = 400.milliseconds
+
+        /** Time from the start of a process to that of its clock, and to take back a request. */
+        private val START_TIME: Duration = 800.milliseconds
+
+        /** Requests wait longer than expected if others are sent at the same time. */
+        private const val WAIT_FACTOR = 1.3
     }
 }
--- a/core/src/main/kotlin/org/guavapath/core/weights/TargetWeights.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/TargetWeights.kt
@@ -6,43 +6,29 @@
 import kotlin.time.Duration
 
 /**
- * When a target was named, as far as one VM knows.
+ * The target weights of each model, with recent earlier targets and when they were named.
  *
- * @property number the weights
- * @property learnedAt when the first VM is known to have learned of it
- * @property isWitnessed whether a VM learned of it as a change, so that it was named right before [learnedAt]; a VM
- *   that found it when it first read the store knows only that it was named before
+ * @param areKnown whether models without a target have none; otherwise theirs may not be known yet
  */
-public data class TargetNaming(
-    public val number: WeightsNumber,
-    public val learnedAt: MonotonicTime,
-    public val isWitnessed: Boolean,
-) {
-    internal fun merge(other: TargetNaming) =
-        copy(learnedAt = minOf(learnedAt, other.learnedAt), isWitnessed = isWitnessed || other.isWitnessed)
-}
-
-/** The target weights of each model, with recent earlier targets and when they were named. */
-public class TargetWeights {
+public class TargetWeights(private var areKnown: Boolean = true) {
     private val history = HashMap<ModelName, List<TargetNaming>>()
 
-    /**
-     * Sets the target of [model] to [number]; returns false and ignores it if it is not newer than the current one.
-     *
-     * @param learnedAt when this VM learned of it
-     * @param isWitnessed whether it was named right before
-     */
-    public fun setTarget(
-        model: ModelName,
-        number: WeightsNumber,
-        learnedAt: MonotonicTime,
-        isWitnessed: Boolean = true,
-    ): Boolean {
-        if (newest(model).let { it != null && number <= it }) return false
-        add(model, TargetNaming(number, learnedAt, isWitnessed))
+    /** Records that all targets are set that there are. */
+    public fun listed() {
+        areKnown = true
+    }
+
+    /** Sets the target of [model]; returns false and ignores it if it is not newer than the current one. */
+    public fun setTarget(model: ModelName, naming: TargetNaming): Boolean {
+        if (newest(model).let { it != null && naming.number <= it }) return false
+        add(model, naming)
         return true
     }
 
+    /** Sets the target of [model] to [number], which was seen to be named at [now]. */
+    public fun setTarget(model: ModelName, number: WeightsNumber, now: MonotonicTime): Boolean =
+        setTarget(model, TargetNaming(number, learnedAt = now, witnessedAt = now))
+
     /**
      * Merges what another VM knows of the targets of [model]; returns whether it is news. Newer targets are ignored.
      *
@@ -59,15 +45,18 @@
     /** Whether [naming] agrees with [known]; otherwise VMs that ask each other would take targets for ever older. */
     private fun isKnown(known: List<TargetNaming>, naming: TargetNaming, uncertainty: Duration): Boolean =
         known.any {
-            it.number == naming.number && it.isWitnessed >= naming.isWitnessed &&
-                it.learnedAt <= naming.learnedAt + uncertainty
+            it.number == naming.number && it.learnedAt <= naming.learnedAt + uncertainty &&
+                (it.earliest != null || naming.earliest == null)
         }
 
-    /** Takes all targets to have been named earlier [by] so much, which the clock has not counted. */
-    public fun age(by: Duration) {
-        history.replaceAll { _, namings -> namings.map { it.copy(learnedAt = it.learnedAt + (-by)) } }
+    /** Takes into account that the clock may have stood still for [duration] until [now]. */
+    public fun suspended(duration: Duration, now: MonotonicTime) {
+        history.replaceAll { _, namings -> namings.map { it.afterSuspension(duration, now) } }
     }
 
+    /** Returns whether it is unknown at what time the target of [model] was named. */
+    public fun isAgeUnknown(model: ModelName): Boolean = history[model].orEmpty().any { it.earliest == null }
+
     /** Returns what is known of the targets of all models, oldest first. */
     public fun namings(): Map<ModelName, List<TargetNaming>> = history.toMap()
 
@@ -79,9 +68,9 @@
 
     /** Returns how outdated weights [number] of [model] are at [now]. */
     public fun staleness(model: ModelName, number: WeightsNumber, now: MonotonicTime): Staleness {
-        val next = history[model]?.firstOrNull { it.number > number } ?: return Staleness.Current
-        val known = now - next.learnedAt
-        return if (next.isWitnessed) Staleness.Replaced(known) else Staleness.Unknown(known)
+        val namings = history[model] ?: return if (areKnown) Staleness.Current else Staleness.Unknown(Duration.ZERO)
+        val next = namings.firstOrNull { it.number > number } ?: return Staleness.Current
+        return next.earliest?.let { Staleness.Replaced(now - it) } ?: Staleness.Unknown(now - next.learnedAt)
     }
 
     /** Returns how long ago the current target of [model] became known; infinite if none was set. */
--- a/core/src/test/kotlin/org/guavapath/core/time/StallDetectorTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/time/StallDetectorTest.kt
@@ -45,8 +45,7 @@
         assertEquals(case.suspended, detector.tick(now, wall), case.name)
         assertEquals(case.earliest, now - detector.earliestArrival(now), case.name)
         val later = now + 1100.milliseconds
-        detector.tick(now + 500.milliseconds, wall + 500)
-        detector.tick(later, wall + 1100)
+        for (step in 100..1_100 step 200) detector.tick(now + step.milliseconds, wall + step)
         assertEquals(Duration.ZERO, later - detector.earliestArrival(later), case.name)
     }
 
--- a/core/src/test/kotlin/org/guavapath/core/weights/ReplacedWeightsPolicyTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/ReplacedWeightsPolicyTest.kt
@@ -20,13 +20,13 @@
     private val cases = listOf(
         Case(Staleness.Current, WeightsUse.Unlimited, wait = 20.seconds),
         Case(Staleness.Replaced(0.seconds), WeightsUse.Limited(5600.milliseconds)),
-        Case(Staleness.Replaced(4.seconds), WeightsUse.Limited(1600.milliseconds), wait = 1500.milliseconds),
-        Case(Staleness.Replaced(4.seconds), WeightsUse.Forbidden, wait = 1700.milliseconds),
+        Case(Staleness.Replaced(4.seconds), WeightsUse.Limited(1600.milliseconds), wait = 1200.milliseconds),
+        Case(Staleness.Replaced(4.seconds), WeightsUse.Forbidden, wait = 1300.milliseconds),
         Case(Staleness.Replaced(5.seconds), WeightsUse.Forbidden),
         Case(Staleness.Unknown(1.seconds), WeightsUse.Forbidden),
-        Case(Staleness.Unknown(1.seconds), WeightsUse.LastResort(1600.milliseconds), uptime = 1.seconds),
+        Case(Staleness.Unknown(1.seconds), WeightsUse.LastResort(1200.milliseconds), uptime = 1.seconds),
         Case(Staleness.Unknown(1.seconds), WeightsUse.Forbidden, wait = 2.seconds, uptime = 1.seconds),
-        Case(Staleness.Unknown(1.seconds), WeightsUse.Forbidden, uptime = 2600.milliseconds),
+        Case(Staleness.Unknown(1.seconds), WeightsUse.Forbidden, uptime = 2200.milliseconds),
         Case(Staleness.Unknown(9.seconds), WeightsUse.Forbidden, uptime = 1.seconds),
     )
 
--- a/core/src/test/kotlin/org/guavapath/core/weights/RolloutTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/RolloutTest.kt
@@ -128,7 +128,7 @@
     fun allReplicasAreOrderedWhileTheWeightsBeforeMayBeUsed() = paces.forEach { pace ->
         val targets = TargetWeights()
         val seenAt = MonotonicTime.ZERO + if (pace.isWitnessed) Duration.ZERO else pace.begun
-        targets.setTarget(model, WeightsNumber(2), seenAt, pace.isWitnessed)
+        targets.setTarget(model, TargetNaming(WeightsNumber(2), seenAt, seenAt.takeIf { pace.isWitnessed }))
         val rollout = Rollout()
         val weights = LongArray(pace.replicas) { 1 }
         val ends = HashMap<ReplicaId, MonotonicTime>()
--- a/core/src/test/kotlin/org/guavapath/core/weights/TargetWeightsTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/TargetWeightsTest.kt
@@ -16,15 +16,26 @@
     /** @property expected how outdated weights 1 are, 10 s after [start] */
     private class Case(val name: String, val expected: Staleness, val history: TargetWeights.() -> Unit)
 
-    private fun TargetWeights.set(number: Long, after: Duration, isWitnessed: Boolean = true) =
-        setTarget(model, WeightsNumber(number), start + after, isWitnessed)
+    private fun naming(number: Long, after: Duration, isWitnessed: Boolean, notBefore: Duration? = null): TargetNaming {
+        val learnedAt = start + after
+        val witnessedAt = learnedAt.takeIf { isWitnessed }
+        return TargetNaming(WeightsNumber(number), learnedAt, witnessedAt, notBefore?.let { start + it })
+    }
+
+    private fun TargetWeights.set(
+        number: Long,
+        after: Duration,
+        isWitnessed: Boolean = true,
+        notBefore: Duration? = null,
+    ) = setTarget(model, naming(number, after, isWitnessed, notBefore))
 
     private fun TargetWeights.told(
         number: Long,
         after: Duration,
         isWitnessed: Boolean = true,
         uncertainty: Duration = Duration.ZERO,
-    ) = learn(model, listOf(TargetNaming(WeightsNumber(number), start + after, isWitnessed)), uncertainty)
+        notBefore: Duration? = null,
+    ) = learn(model, listOf(naming(number, after, isWitnessed, notBefore)), uncertainty)
 
     private val cases = listOf(
         Case("no target", Staleness.Current) {},
@@ -39,10 +50,29 @@
             set(2, 9.seconds, isWitnessed = false)
             told(2, 2.seconds)
         },
-        Case("another VM saw it change, later", Staleness.Replaced(4.seconds)) {
+        Case("another VM saw it change, late", Staleness.Unknown(4.seconds)) {
             set(2, 6.seconds, isWitnessed = false)
             told(2, 8.seconds)
         },
+        Case("another VM saw it change at about the same time", Staleness.Replaced(4.seconds)) {
+            set(2, 6.seconds, isWitnessed = false)
+            told(2, 6200.milliseconds)
+        },
+        Case("this VM saw it change late, another found it before", Staleness.Unknown(7.seconds)) {
+            set(2, 6.seconds)
+            told(2, 3.seconds, isWitnessed = false)
+        },
+        Case("this VM saw it change late, another in time", Staleness.Replaced(8.seconds)) {
+            set(2, 6.seconds)
+            told(2, 2.seconds)
+        },
+        Case("the store showed that it was not named yet", Staleness.Replaced(3.seconds)) {
+            set(2, 9.seconds, isWitnessed = false, notBefore = 7.seconds)
+        },
+        Case("another VM knows a later time at which it was not", Staleness.Replaced(2.seconds)) {
+            set(2, 9.seconds, isWitnessed = false)
+            told(2, 9.seconds, isWitnessed = false, notBefore = 8.seconds)
+        },
         Case("a VM that found it too knows no more", Staleness.Unknown(8.seconds)) {
             set(2, 9.seconds, isWitnessed = false)
             told(2, 2.seconds, isWitnessed = false)
@@ -65,7 +95,12 @@
         },
         Case("the clock stood still", Staleness.Replaced(7.seconds)) {
             set(2, 6.seconds)
-            age(3.seconds)
+            suspended(3.seconds, start + 9.seconds)
+        },
+        Case("the time was set forward, as another VM knows", Staleness.Replaced(4.seconds)) {
+            set(2, 6.seconds)
+            suspended(3.seconds, start + 9.seconds)
+            told(2, 6.seconds)
         },
         Case("an answer that agrees changes nothing", Staleness.Replaced(4.seconds)) {
             set(2, 6.seconds)
@@ -86,10 +121,19 @@
         val vms = List(2) { TargetWeights().apply { set(2, 1.seconds) } }
         repeat(100) { round ->
             val known = vms[round % 2].namings().getValue(model)
-            val told = known.map { it.copy(learnedAt = it.learnedAt + (-50).milliseconds) }
+            val told = known.map { naming(2, it.learnedAt - start - 50.milliseconds, isWitnessed = true) }
             vms[(round + 1) % 2].learn(model, told, uncertainty = 50.milliseconds)
         }
         val now = start + 10.seconds
         vms.forEach { assertEquals(Staleness.Replaced(9.seconds), it.staleness(model, WeightsNumber(1), now)) }
     }
+
+    /** Guards against a VM that takes all weights for the newest as it has not yet been able to read the targets. */
+    @Test
+    fun weightsAreOfUnknownAgeUntilTargetsAreKnown() {
+        val targets = TargetWeights(areKnown = false)
+        assertEquals(Staleness.Unknown(Duration.ZERO), targets.staleness(model, WeightsNumber(1), start))
+        targets.listed()
+        assertEquals(Staleness.Current, targets.staleness(model, WeightsNumber(1), start))
+    }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/EraTrackingStore.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/EraTrackingStore.kt
@@ -12,6 +12,7 @@
 import org.guavapath.core.store.ObjectKind
 import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.store.Revision
+import org.guavapath.core.store.RevisionTimes
 import org.guavapath.core.store.StoreEra
 import org.guavapath.core.store.StoreError
 import org.guavapath.core.store.StoredObject
@@ -23,6 +24,9 @@
 internal class EraTrackingStore(private val store: ObjectStore, private val log: GatewayLog) : ObjectStore {
     private val newest = MutableStateFlow(StoreEra.UNKNOWN)
 
+    /** When which revision was shown. */
+    val revisionTimes = RevisionTimes()
+
     /** The newest era that is known. */
     val era: StateFlow<StoreEra> = newest.asStateFlow()
 
@@ -33,11 +37,16 @@
     /** Records that the gateway [from] knows of [era]; a member of a hub makes no calls itself. */
     fun told(era: StoreEra, from: VmId) = update(era, "from" to from.text)
 
-    override suspend fun list(kind: ObjectKind): Result<Listing, StoreError> =
-        tracked(store.list(kind)) { it.asOf }
+    override suspend fun list(kind: ObjectKind): Result<Listing, StoreError> {
+        val calledAt = MonotonicTime.now()
+        return tracked(store.list(kind)) { it.asOf }.onSuccess { revisionTimes.record(it.asOf, calledAt) }
+    }
 
-    override suspend fun watch(kind: ObjectKind, after: Revision, timeout: Duration): Result<WatchResult, StoreError> =
-        tracked(store.watch(kind, after, timeout)) { (it as? WatchResult.Changes)?.asOf }
+    override suspend fun watch(kind: ObjectKind, after: Revision, timeout: Duration): Result<WatchResult, StoreError> {
+        val calledAt = MonotonicTime.now()
+        return tracked(store.watch(kind, after, timeout)) { (it as? WatchResult.Changes)?.asOf }
+            .onSuccess { result -> (result as? WatchResult.Changes)?.let { revisionTimes.record(it.asOf, calledAt) } }
+    }
 
     override suspend fun read(kind: ObjectKind, name: String): Result<StoredObject?, StoreError> =
         tracked(store.read(kind, name)) { it?.revision }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
@@ -21,7 +21,7 @@
 ) {
     val replicas = ReplicaRegistry()
     val directory = PromptDirectory()
-    val weights = TargetWeights()
+    val weights = TargetWeights(areKnown = false)
     val quarantine = PromptQuarantine()
     val rates = NamedRates()
     val quota = FleetQuota(startedAt, isFirstStart)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -43,7 +43,7 @@
     private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher() + log.taskFailures())
     private val fleet =
         FleetState(settings.failureDomain, MonotonicTime.now(), settings.isFirstStart, settings.replacedWeights)
-    private val operator = OperatorState(fleet, log)
+    private val operator = OperatorState(fleet, store, log)
     private val pool = ReplicaPool(loop)
     private val replicas = ReplicaList(fleet, pool, store, log)
     private val entry = MemberEntry(settings.peers, settings.failureDomain, settings.usableProcessors, incarnation)
@@ -107,7 +107,7 @@
         scope.launch { publisher.publishStatusForever() }
         scope.launch { publisher.publishPromptsForever() }
         scope.launch { publisher.publishUsageForever() }
-        operator.onWeightsFound = targetAges::ask
+        operator.onWeightsNamed = targetAges::ask
         scope.launch { targetAges.run() }
         scope.launch { rollout.run(scope) }
         quarantine.onQuarantined = { exchanges.running.toList().forEach { it.endIfQuarantined() } }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
@@ -3,10 +3,12 @@
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
 import org.guavapath.core.fleet.FleetConfiguration
+import org.guavapath.core.fleet.WeightsNumber
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.results.Invariant
 import org.guavapath.core.store.StoredObject
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.core.weights.TargetNaming
 import org.guavapath.platform.wire.ConfigurationCodec
 import org.guavapath.platform.wire.ReplicaCodec
 
@@ -16,7 +18,11 @@
  * Both only become newer, by the numbers that the operator gave them, whatever the store holds: it may return from an
  * older copy.
  */
-internal class OperatorState(private val fleet: FleetState, private val log: GatewayLog) {
+internal class OperatorState(
+    private val fleet: FleetState,
+    private val store: EraTrackingStore,
+    private val log: GatewayLog,
+) {
     private val newestWeights = HashMap<String, StoredObject>()
 
     /** The configuration in force, null before the first. */
@@ -35,12 +41,14 @@
         view.objects[CONFIGURATION]?.let { offerConfiguration(it) }
     }
 
-    /** Called when target weights were found that may have been named long before. */
-    var onWeightsFound: () -> Unit = {}
+    /** Called when target weights have become known. */
+    var onWeightsNamed: () -> Unit = {}
 
-    /** Applies the target weights in [view] that are newer. */
-    fun updateWeights(view: StoreView) =
-        view.objects.values.forEach { offerWeights(it, from = null, isWitnessed = view.isChangeWitnessed) }
+    /** Applies the target weights that have changed in [view] and are newer. */
+    fun updateWeights(view: StoreView) {
+        view.changed.forEach { offerWeights(it, from = null, view.isChangeWitnessed) }
+        fleet.weights.listed()
+    }
 
     /** Applies the configuration in [stored] if it is newer; returns whether it is. */
     fun offerConfiguration(stored: StoredObject): Boolean = ConfigurationCodec.decode(stored.value).fold(
@@ -55,15 +63,14 @@
      * Applies the target weights in [stored] if they are newer; returns whether they are.
      *
      * @param from the gateway that has told them, null if they were read from the store
-     * @param isWitnessed whether they were named right before
+     * @param isWitnessed whether the store reported them as a change
      */
     fun offerWeights(stored: StoredObject, from: VmId?, isWitnessed: Boolean): Boolean {
         val targetWeights = ReplicaCodec.targetWeights(stored.value).getOrElse {
             log.stateChange("weights naming ignored", "name" to stored.name, "error" to it)
             null
         } ?: return false
-        val learnedAt = fleet.stalls.earliestArrival(MonotonicTime.now())
-        val isNewer = fleet.weights.setTarget(targetWeights.model, targetWeights.number, learnedAt, isWitnessed)
+        val isNewer = fleet.weights.setTarget(targetWeights.model, naming(targetWeights.number, stored, isWitnessed))
         if (isNewer) {
             newestWeights[stored.name] = stored
             log.stateChange(
@@ -74,11 +81,17 @@
                 "revision" to stored.revision.number,
                 "isWitnessed" to isWitnessed,
             )
-            if (!isWitnessed) onWeightsFound()
+            onWeightsNamed()
         }
         return isNewer
     }
 
+    private fun naming(number: WeightsNumber, stored: StoredObject, isWitnessed: Boolean): TargetNaming {
+        val learnedAt = fleet.stalls.earliestArrival(MonotonicTime.now())
+        val notBefore = store.revisionTimes.notBefore(stored.revision).takeIf { stored.revision.era == store.era.value }
+        return TargetNaming(number, learnedAt, learnedAt.takeIf { isWitnessed }, notBefore)
+    }
+
     private fun adopt(next: FleetConfiguration, stored: StoredObject): Boolean {
         val before = configuration
         if (before != null && next.version <= before.version) return false
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -68,6 +68,10 @@
     var isChangeWitnessed = false
         private set
 
+    /** The objects that the last change concerned, oldest first; all of them if the copy was replaced. */
+    var changed = emptyList<StoredObject>()
+        private set
+
     /** Called when the copy was replaced by one of a later era. */
     var onRestored: () -> Unit = {}
 
@@ -157,6 +161,7 @@
         }
         val isChanged = listing.objects != held || asOf == Revision.NONE
         isChangeWitnessed = false
+        changed = listing.objects.values.toList()
         held.clear()
         held.putAll(listing.objects)
         asOf = listing.asOf
@@ -167,6 +172,7 @@
 
     private fun apply(result: WatchResult.Changes) {
         isChangeWitnessed = true
+        changed = result.changes.mapNotNull { it.present }
         result.changes.forEach { change ->
             val present = change.present
             if (present == null) held.remove(change.name) else held[change.name] = present
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -284,13 +284,14 @@
     data class TargetAgesTold(val number: Long, val namings: Map<String, List<SharedNaming>>) : OfTargets()
 
     /**
-     * When a target was named.
+     * When a target was named; times are ages in milliseconds.
      *
-     * @property ageMilliseconds time since the first gateway is known to have learned of it
-     * @property isWitnessed whether that gateway saw it change; otherwise it may have been named long before
+     * @property learned time since the first gateway is known to have learned of it
+     * @property witnessed time since the first gateway saw it change, null if all found it
+     * @property notBefore time since it is known not to have been named yet, null if unknown
      */
     @Serializable
-    data class SharedNaming(val number: Long, val ageMilliseconds: Long, val isWitnessed: Boolean)
+    data class SharedNaming(val number: Long, val learned: Long, val witnessed: Long?, val notBefore: Long?)
 
     /** A message about replicas that change their weights. */
     @Serializable
