--- a/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -13,6 +13,7 @@
 import org.guavapath.core.fleet.ServiceName
 import org.guavapath.core.fleet.WeightsNumber
 import org.guavapath.core.identity.FailureDomainName
+import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.core.weights.ReplacedWeightsPolicy
@@ -145,6 +146,15 @@
         }
     }
 
+    /** Returns when a request must have begun that was sent to a replica with weights [number]; null if at any time. */
+    public fun beginBy(model: ModelName, number: WeightsNumber, now: MonotonicTime): MonotonicTime? =
+        when (val use = policy.use(weights.staleness(model, number, now), Duration.ZERO, now - startedAt)) {
+            WeightsUse.Unlimited -> null
+            is WeightsUse.Limited -> now + use.beginsWithin
+            is WeightsUse.LastResort -> now + use.beginsWithin
+            WeightsUse.Forbidden -> now
+        }
+
     private fun use(record: ReplicaRecord, prompt: PromptShape?, wait: Duration, now: MonotonicTime): WeightsUse =
         if (prompt == null) WeightsUse.Unlimited else policy.use(staleness(record, prompt, now), wait, now - startedAt)
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -88,6 +88,15 @@
         if (hasEnded) call?.cancel()
     }
 
+    /** Takes into account that other weights are wanted, or for longer, than when the request was sent. */
+    fun targetsChanged() {
+        val model = admitted.request.prompt?.model
+        val weights = choice.weights
+        if (hasEnded || head != null || model == null || weights == null) return
+        val now = MonotonicTime.now()
+        context.fleet.placement.beginBy(model, weights, now)?.let { beginTimer.restart(it - now) }
+    }
+
     /** Ends the attempt and closes its connection, so that the replica stops working on the request. */
     fun cancel() = end(outcome = null) { call?.cancel() }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -48,6 +48,11 @@
         attempts.current?.setReading(true)
     }
 
+    /** Takes back the request in time if it has not begun and other weights are wanted since. */
+    fun targetsChanged() {
+        if (!completion.hasEnded) attempts.current?.targetsChanged()
+    }
+
     /** Ends the request if its prompt has been quarantined since it was sent and no event has arrived. */
     fun endIfQuarantined() {
         val prompt = admitted.request.prompt
