A gateway that starts does not take the rollout lease before it has heard of the holder

It waits until it has heard of one, or 1.5 s. The handover to a restarted holder counts from its process's start, as a third gateway in between may still have a confirmation. RolloutCandidacyTest and RolloutLeaseTest have the cases. The timer of requests that have not begun has its own class.

--- a/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
@@ -72,10 +72,10 @@
         replicas: List<RolloutReplica>,
         now: MonotonicTime,
     ): List<WeightsOrder> {
-        val target = targets.newest(model) ?: return emptyList()
+        val target = targets.newest(model)
         removeStale(replicas, now)
-        val outdated = replicas.filter { it.weights == null || it.weights < target }
-        if (outdated.isEmpty()) {
+        val outdated = replicas.filter { target != null && (it.weights == null || it.weights < target) }
+        if (target == null || outdated.isEmpty()) {
             usualLoadTime = INITIAL_LOAD_TIME
             return emptyList()
         }
--- a/core/src/main/kotlin/org/guavapath/core/weights/RolloutCandidacy.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/RolloutCandidacy.kt
@@ -28,13 +28,20 @@
      *
      * @param holder the holder as far as this VM knows, null if there is none
      * @param others what is known of the other VMs
+     * @param isSettled whether VMs that are well would have been heard of
      */
-    public fun isCandidate(holder: VmId?, others: Map<VmId, HolderState>, now: MonotonicTime): Boolean {
+    public fun isCandidate(
+        holder: VmId?,
+        others: Map<VmId, HolderState>,
+        isSettled: Boolean,
+        now: MonotonicTime,
+    ): Boolean {
         behindSince.keys.retainAll(others.filterValues { !it.isUpToDate }.keys)
         val eligible = others.filter { (vm, state) -> state.isAvailable && !isBehind(vm, state, now) }.keys
         return when {
             holder == self -> true
             holder in eligible -> false
+            holder == null && others.isEmpty() && !isSettled -> false
             else -> eligible.all { self < it }
         }
     }
--- a/core/src/main/kotlin/org/guavapath/core/weights/TargetNaming.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/TargetNaming.kt
@@ -24,6 +24,14 @@
     public val earliest: MonotonicTime?
         get() = if (witnessedAt != null && witnessedAt <= learnedAt + USUAL_DELAY) learnedAt else notBefore
 
+    /**
+     * Whether this says as much as [told], which is true up to [uncertainty]. VMs that merged all the same what others
+     * tell would take targets for ever older.
+     */
+    internal fun agreesWith(told: TargetNaming, uncertainty: Duration): Boolean =
+        number == told.number && learnedAt <= told.learnedAt + uncertainty &&
+            (earliest != null || told.earliest == null)
+
     /** Returns what is known here and there. */
     public fun merge(other: TargetNaming): TargetNaming = copy(
         learnedAt = minOf(learnedAt, other.learnedAt),
--- a/core/src/main/kotlin/org/guavapath/core/weights/TargetWeights.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/TargetWeights.kt
@@ -25,10 +25,6 @@
         return true
     }
 
-    /** Sets the target of [model] to [number], which was seen to be named at [now]. */
-    public fun setTarget(model: ModelName, number: WeightsNumber, now: MonotonicTime): Boolean =
-        setTarget(model, TargetNaming(number, learnedAt = now, witnessedAt = now))
-
     /**
      * Merges what another VM knows of the targets of [model]; returns whether it is news. Newer targets are ignored.
      *
@@ -38,25 +34,16 @@
     public fun learn(model: ModelName, namings: List<TargetNaming>, uncertainty: Duration): Boolean {
         val before = history[model].orEmpty()
         val newest = newest(model) ?: return false
-        namings.filter { it.number <= newest && !isKnown(before, it, uncertainty) }.forEach { add(model, it) }
+        namings.filter { told -> told.number <= newest && before.none { it.agreesWith(told, uncertainty) } }
+            .forEach { add(model, it) }
         return history[model] != before
     }
 
-    /** Whether [naming] agrees with [known]; otherwise VMs that ask each other would take targets for ever older. */
-    private fun isKnown(known: List<TargetNaming>, naming: TargetNaming, uncertainty: Duration): Boolean =
-        known.any {
-            it.number == naming.number && it.learnedAt <= naming.learnedAt + uncertainty &&
-                (it.earliest != null || naming.earliest == null)
-        }
-
     /** Takes into account that the clock may have stood still for [duration] until [now]. */
     public fun suspended(duration: Duration, now: MonotonicTime) {
         history.replaceAll { _, namings -> namings.map { it.afterSuspension(duration, now) } }
     }
 
-    /** Returns whether it is unknown at what time the target of [model] was named. */
-    public fun isAgeUnknown(model: ModelName): Boolean = history[model].orEmpty().any { it.earliest == null }
-
     /** Returns what is known of the targets of all models, oldest first. */
     public fun namings(): Map<ModelName, List<TargetNaming>> = history.toMap()
 
@@ -68,9 +55,13 @@
 
     /** Returns how outdated weights [number] of [model] are at [now]. */
     public fun staleness(model: ModelName, number: WeightsNumber, now: MonotonicTime): Staleness {
-        val namings = history[model] ?: return if (areKnown) Staleness.Current else Staleness.Unknown(Duration.ZERO)
-        val next = namings.firstOrNull { it.number > number } ?: return Staleness.Current
-        return next.earliest?.let { Staleness.Replaced(now - it) } ?: Staleness.Unknown(now - next.learnedAt)
+        val namings = history[model]
+        val next = namings?.firstOrNull { it.number > number }
+        return when {
+            namings == null && !areKnown -> Staleness.Unknown(Duration.ZERO)
+            next == null -> Staleness.Current
+            else -> next.earliest?.let { Staleness.Replaced(now - it) } ?: Staleness.Unknown(now - next.learnedAt)
+        }
     }
 
     /** Returns how long ago the current target of [model] became known; infinite if none was set. */
@@ -89,3 +80,7 @@
         const val MAX_HISTORY = 64
     }
 }
+
+/** Sets the target of [model] to [number], which was seen to be named at [now]; returns false if it is not newer. */
+public fun TargetWeights.setTarget(model: ModelName, number: WeightsNumber, now: MonotonicTime): Boolean =
+    setTarget(model, TargetNaming(number, learnedAt = now, witnessedAt = now))
--- a/core/src/test/kotlin/org/guavapath/core/placement/PlacementTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/placement/PlacementTest.kt
@@ -13,6 +13,7 @@
 import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.core.weights.TargetWeights
+import org.guavapath.core.weights.setTarget
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
--- a/core/src/test/kotlin/org/guavapath/core/weights/RolloutCandidacyTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/RolloutCandidacyTest.kt
@@ -44,8 +44,12 @@
         val others = listOf("vm-1", "vm-3", "vm-4").map { VmId(it) }.zip(case.others).toMap()
         val start = MonotonicTime.ZERO
         val holder = case.holder?.let { VmId(it) }
-        candidacy.isCandidate(holder, others, start)
-        assertEquals(case.isCandidate, candidacy.isCandidate(holder, others, start + case.since), case.name)
+        candidacy.isCandidate(holder, others, isSettled = false, start)
+        assertEquals(
+            case.isCandidate,
+            candidacy.isCandidate(holder, others, isSettled = false, start + case.since),
+            case.name
+        )
     }
 
     @Test
@@ -54,7 +58,20 @@
         val holder = VmId("vm-1")
         listOf(behind to 0, ready to 1_000, behind to 1_500, behind to 2_000).forEach { (state, at) ->
             val now = MonotonicTime.ZERO + at.milliseconds
-            assertEquals(false, candidacy.isCandidate(holder, mapOf(holder to state), now), "after $at ms")
+            assertEquals(
+                false,
+                candidacy.isCandidate(holder, mapOf(holder to state), isSettled = true, now),
+                "after $at ms"
+            )
+        }
+    }
+
+    /** Guards against a VM that takes the lease as it starts, before it has heard of the holder. */
+    @Test
+    fun aVmThatHasHeardOfNobodyWaits() {
+        val candidacy = RolloutCandidacy(VmId("vm-2"))
+        listOf(false, true).forEach { isSettled ->
+            assertEquals(isSettled, candidacy.isCandidate(holder = null, emptyMap(), isSettled, MonotonicTime.ZERO))
         }
     }
 }
--- a/core/src/test/kotlin/org/guavapath/core/weights/RolloutTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/RolloutTest.kt
@@ -50,7 +50,7 @@
             Triple("all are two targets behind", replicas(1, 1, 1), listOf("r0", "r1", "r2")),
             Triple(
                 "another VM has ordered two",
-                replicas(2, 2, 2, 2, 2, 2).mapIndexed { index, it -> it.copy(isLoading = index > 3) },
+                replicas(2, 2, 2, 2, 2, 2).mapIndexed { index, replica -> replica.copy(isLoading = index > 3) },
                 emptyList(),
             ),
         )
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -61,7 +61,9 @@
         accounting.observe(ReplicaOutcome.UNRESPONSIVE)
         onEvent(this, AttemptEvent.TimedOut)
     }
-    private val beginTimer = InactivityTimer(context.loop) { onEvent(this, AttemptEvent.Outdated) }
+    private val beginningTimer = BeginningTimer(context, admitted.request.prompt?.model, choice) {
+        onEvent(this, AttemptEvent.Outdated)
+    }
     private var head: ReplicaResponseHead? = null
     private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
 
@@ -76,7 +78,7 @@
     fun start(instructions: ReplicaInstructions) {
         choice.path?.let { context.fleet.directory.record(it, record.entry.id, startedAt) }
         timer.restart(firstByteTimeout())
-        choice.beginBy?.let { beginTimer.restart(it - startedAt) }
+        beginningTimer.start()
         val request = ReplicaRequest(
             record.entry,
             ReplicaRequests.forward(admitted.incoming, instructions),
@@ -88,15 +90,6 @@
         if (hasEnded) call?.cancel()
     }
 
-    /** Takes into account that other weights are wanted, or for longer, than when the request was sent. */
-    fun targetsChanged() {
-        val model = admitted.request.prompt?.model
-        val weights = choice.weights
-        if (hasEnded || head != null || model == null || weights == null) return
-        val now = MonotonicTime.now()
-        context.fleet.placement.beginBy(model, weights, now)?.let { beginTimer.restart(it - now) }
-    }
-
     /** Ends the attempt and closes its connection, so that the replica stops working on the request. */
     fun cancel() = end(outcome = null) { call?.cancel() }
 
@@ -112,7 +105,7 @@
 
     override fun head(head: ReplicaResponseHead, headers: HttpHeaders) {
         if (hasEnded) return
-        beginTimer.stop()
+        beginningTimer.stop()
         progress.headReceived(MonotonicTime.now())
         this.head = head
         this.headers = headers.copy()
@@ -165,7 +158,7 @@
         if (hasEnded) return
         hasEnded = true
         timer.stop()
-        beginTimer.stop()
+        beginningTimer.stop()
         accounting.finish(outcome)
         then()
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -48,11 +48,6 @@
         attempts.current?.setReading(true)
     }
 
-    /** Takes back the request in time if it has not begun and other weights are wanted since. */
-    fun targetsChanged() {
-        if (!completion.hasEnded) attempts.current?.targetsChanged()
-    }
-
     /** Ends the request if its prompt has been quarantined since it was sent and no event has arrived. */
     fun endIfQuarantined() {
         val prompt = admitted.request.prompt
@@ -72,7 +67,7 @@
             is AttemptEvent.NotSent ->
                 retryOrFail(attempt, DispatchCode.NoEndpoint, event.reason, hasArrived = false)
             is AttemptEvent.NotRun -> {
-                if (event.head.isMisdirected) attempts.recordMisdirection(attempt, event.head)
+                attempts.recordMisdirection(attempt, event.head)
                 retryOrFail(attempt, DispatchCode.EndpointsBusy, "refused with ${event.head.status}, not run")
             }
             is AttemptEvent.HeadReceived -> {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -125,8 +125,9 @@
         attempt.isCountedAsRun = true
     }
 
-    /** Updates the replica's record after a misdirected request: other weights, or another replica at its address. */
+    /** Updates the replica's record if [head] says that it has other weights, or is another replica at its address. */
     fun recordMisdirection(attempt: Attempt, head: ReplicaResponseHead) {
+        if (!head.isMisdirected) return
         val record = attempt.choice.record
         val now = MonotonicTime.now()
         if (head.replica != null && head.replica != record.entry.id) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -66,6 +66,9 @@
     /** The exchanges that have not ended. */
     val running = LinkedHashSet<Exchange>()
 
+    /** Timers of the requests that have been sent to a replica and have not begun. */
+    val waiting = LinkedHashSet<BeginningTimer>()
+
     val quarantine: QuarantineTask get() = host.quarantine
     val namedRates: NamedRateTask get() = host.namedRates
     val permits: PermitTask get() = host.permits
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -108,7 +108,7 @@
         scope.launch { publisher.publishPromptsForever() }
         scope.launch { publisher.publishUsageForever() }
         operator.onWeightsNamed = targetAges::ask
-        targetAges.onLearned = { exchanges.running.toList().forEach { it.targetsChanged() } }
+        targetAges.onLearned = { exchanges.waiting.toList().forEach { it.targetsChanged() } }
         scope.launch { targetAges.run() }
         scope.launch { rollout.run(scope) }
         quarantine.onQuarantined = { exchanges.running.toList().forEach { it.endIfQuarantined() } }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
@@ -15,6 +15,7 @@
 import org.guavapath.daemon.peers.PeerMessage
 import org.guavapath.daemon.peers.PeerSender
 import org.guavapath.platform.wire.StoreKinds
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Applies the status, usage and prompt messages of other gateways, and relays messages between them. */
 internal class PeerExchange(
@@ -33,6 +34,7 @@
 
     private val statuses = HashMap<VmId, Received>()
     private val candidacy = RolloutCandidacy(self)
+    private val startedAt = MonotonicTime.now()
 
     /** Applies the [status] of [from]; its revisions are of [era], null if that is not known. */
     fun statusReceived(from: VmId, status: PeerMessage.FleetStatus, era: StoreEra?, fleet: FleetState) {
@@ -76,12 +78,13 @@
         (recipients - from).forEach { peers.send(it, message) }
     }
 
-    override fun isRolloutCandidate(): Boolean = isStoreAvailable() && !topology.isMember &&
-        candidacy.isCandidate(
-            lease.knownHolder?.vm,
-            statuses.mapValues { (vm, received) -> holderState(vm, received) },
-            MonotonicTime.now(),
-        )
+    override fun isRolloutCandidate(): Boolean {
+        val now = MonotonicTime.now()
+        val states = statuses.mapValues { (vm, received) -> holderState(vm, received) }
+        val isSettled = topology.plannedLinks.isEmpty() || now - startedAt > SETTLING_TIME
+        val isCandidate = candidacy.isCandidate(lease.knownHolder?.vm, states, isSettled, now)
+        return isCandidate && isStoreAvailable() && !topology.isMember
+    }
 
     override fun broadcast(message: PeerMessage) =
         (topology.equalPeers + topology.members).forEach { peers.send(it, message) }
@@ -96,4 +99,9 @@
 
     /** Whether the store responds to this gateway. */
     fun isStoreAvailable() = views.areAvailable && !lease.isFailing
+
+    private companion object {
+        /** Two intervals of 750 ms, at which a gateway publishes an unchanged status. */
+        val SETTLING_TIME = 1500.milliseconds
+    }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
@@ -45,6 +45,7 @@
     private class Confirmation(val at: MonotonicTime, val wallClock: Long)
 
     private var confirmation: Confirmation? = null
+    private val startedAt = MonotonicTime.now()
     private var usableFrom = MonotonicTime.ZERO
 
     private var failedAt: MonotonicTime? = null
@@ -127,8 +128,12 @@
                 knownHolder = PeerMessage.RolloutHolder(self, token.number)
                 // A lease that was written into a later era than that of its token has to be taken once more.
                 confirmation = newConfirmation.takeIf { _ -> token.era >= it.revision.era }
-                val isUndisputed = isFirst || isOfFormerProcess(former, highest, it.revision.era)
-                usableFrom = if (isUndisputed) newConfirmation.at else newConfirmation.at + HANDOVER_DELAY
+                usableFrom = when {
+                    isFirst -> newConfirmation.at
+                    // A process of this VM, which has ended by the start of this one, had the last token.
+                    isOfFormerProcess(former, highest, it.revision.era) -> startedAt + HANDOVER_DELAY
+                    else -> newConfirmation.at + HANDOVER_DELAY
+                }
                 log.stateChange(
                     "rollout lease taken",
                     "token" to token.number,
@@ -140,7 +145,7 @@
         )
     }
 
-    /** Whether the last holder was a process of this VM, which has ended, so that there is nobody to wait for. */
+    /** Whether the last holder was a process of this VM that has ended. */
     private fun isOfFormerProcess(former: LeaseRecord?, highestToken: Long, era: StoreEra): Boolean =
         former?.vm == self && former.incarnation != incarnation && former.fencingToken == highestToken &&
             FencingToken(highestToken).era >= era
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/TargetAgeTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/TargetAgeTask.kt
@@ -1,11 +1,9 @@
 package org.guavapath.daemon.gateway
 
 import kotlinx.coroutines.delay
-import org.guavapath.core.fleet.WeightsNumber
 import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.time.MonotonicTime
-import org.guavapath.core.weights.TargetNaming
 import org.guavapath.daemon.peers.PeerMessage
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -62,9 +60,9 @@
     }
 
     /** Whether a replica has weights that were replaced at an unknown time. */
-    private fun isAgeWanted(): Boolean = fleet.weights.newestOfAll().any { (model, newest) ->
-        fleet.weights.isAgeUnknown(model) && fleet.replicas.all.any { replica ->
-            replica.weights(model)?.let { it < newest } ?: false
+    private fun isAgeWanted(): Boolean = fleet.weights.namings().any { (model, namings) ->
+        namings.any { it.earliest == null } && fleet.replicas.all.any { replica ->
+            replica.weights(model)?.let { it < namings.last().number } ?: false
         }
     }
 
@@ -85,7 +83,7 @@
     private fun answer(number: Long): PeerMessage {
         val now = MonotonicTime.now()
         val namings = fleet.weights.namings().entries.associate { (model, namings) ->
-            model.text to namings.takeLast(MAX_NAMINGS).map { it.encode(now) }
+            model.text to namings.takeLast(MAX_NAMINGS).map { SharedNamingCodec.encode(it, now) }
         }
         return PeerMessage.TargetAgesTold(number, namings)
     }
@@ -95,7 +93,11 @@
         val now = MonotonicTime.now()
         if (now - askedAt > ANSWER_TIMEOUT) return
         val learned = message.namings.filter { (model, shared) ->
-            fleet.weights.learn(ModelName(model), shared.map { it.decode(askedAt) }, uncertainty = now - askedAt)
+            fleet.weights.learn(
+                ModelName(model),
+                shared.map { SharedNamingCodec.decode(it, askedAt) },
+                uncertainty = now - askedAt
+            )
         }.keys
         learned.forEach { logLearned(it, from, now) }
         if (learned.isNotEmpty()) onLearned()
@@ -112,20 +114,6 @@
         )
     }
 
-    private fun TargetNaming.encode(now: MonotonicTime) = PeerMessage.SharedNaming(
-        number.number,
-        (now - learnedAt).inWholeMilliseconds,
-        witnessedAt?.let { (now - it).inWholeMilliseconds },
-        notBefore?.let { (now - it).inWholeMilliseconds },
-    )
-
-    private fun PeerMessage.SharedNaming.decode(askedAt: MonotonicTime) = TargetNaming(
-        WeightsNumber(number),
-        askedAt + (-learned).milliseconds,
-        witnessed?.let { askedAt + (-it).milliseconds },
-        notBefore?.let { askedAt + (-it).milliseconds },
-    )
-
     private companion object {
         val TICK = 250.milliseconds
         val REPEAT_INTERVAL = 1.seconds
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
@@ -43,12 +43,7 @@
      */
     suspend fun load(order: WeightsOrder, replica: Replica, fencingToken: Long, onLoading: () -> Unit): LoadOutcome {
         val before = report(replica)
-        val reason = when {
-            before == null -> "no report"
-            before.isLoading -> "another order is in progress"
-            !lease.isConfirmed() -> "the lease confirmation has expired"
-            else -> null
-        }
+        val reason = reasonNotToOrder(before)
         return when {
             before != null && hasTarget(before, order) -> LoadOutcome.DONE
             before == null || reason != null -> {
@@ -57,17 +52,32 @@
             }
             else -> {
                 onLoading()
-                when (sendOrder(order, replica, fencingToken, before.acceptedOrders)) {
-                    OrderReply.DONE -> LoadOutcome.DONE
-                    OrderReply.ACCEPTED -> awaitTarget(order, replica, MAX_LOAD_TIME, onLoading)
-                    null -> awaitTarget(order, replica, LOADING_PERIOD, onLoading)
-                    OrderReply.FENCED -> LoadOutcome.FENCED
-                    OrderReply.BUSY, OrderReply.REFUSED -> LoadOutcome.FAILED
-                }
+                val reply = sendOrder(order, replica, fencingToken, before.acceptedOrders)
+                awaitOutcome(reply, order, replica, onLoading)
             }
         }
     }
 
+    private fun reasonNotToOrder(before: ReplicaReport?): String? = when {
+        before == null -> "no report"
+        before.isLoading -> "another order is in progress"
+        !lease.isConfirmed() -> "the lease confirmation has expired"
+        else -> null
+    }
+
+    private suspend fun awaitOutcome(
+        reply: OrderReply?,
+        order: WeightsOrder,
+        replica: Replica,
+        onLoading: () -> Unit,
+    ): LoadOutcome = when (reply) {
+        OrderReply.DONE -> LoadOutcome.DONE
+        OrderReply.ACCEPTED -> awaitTarget(order, replica, MAX_LOAD_TIME, onLoading)
+        null -> awaitTarget(order, replica, LOADING_PERIOD, onLoading)
+        OrderReply.FENCED -> LoadOutcome.FENCED
+        OrderReply.BUSY, OrderReply.REFUSED -> LoadOutcome.FAILED
+    }
+
     private suspend fun sendOrder(
         order: WeightsOrder,
         replica: Replica,
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/RolloutLeaseTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/RolloutLeaseTest.kt
@@ -76,14 +76,21 @@
     @Test
     fun aRestartedHolderNeedNotWaitForItself() = runBlocking {
         val first = take(lease("vm-1"))
-        val restarted = assertNotNull(lease("vm-1", incarnation = 2).confirmedToken(), "usable at once")
-        assertTrue(restarted > first, "$restarted after $first")
+        val restarted = lease("vm-1", incarnation = 2)
+        val third = lease("vm-1", incarnation = 3)
+        assertEquals(null, restarted.confirmedToken(), "another holder before may still have a confirmation")
+        delay(HANDOVER_DELAY)
+        val token = assertNotNull(restarted.confirmedToken(), "usable a second after the start")
+        assertTrue(token > first, "$token after $first")
+        assertNotNull(third.confirmedToken(), "usable at once, a second after the start")
         assertEquals(null, lease("vm-2").confirmedToken(), "another gateway waits")
-        assertEquals(null, lease("vm-1", incarnation = 3).confirmedToken(), "the last holder was another gateway")
+        delay(CONFIRMATION_VALIDITY)
+        assertEquals(null, third.confirmedToken(), "the last holder was another gateway")
     }
 
     private companion object {
         /** Longer than a confirmation is valid. */
         val CONFIRMATION_VALIDITY = 800.milliseconds
+        val HANDOVER_DELAY = 1000.milliseconds
     }
 }
