Log attempts that end with the crash of their replica

Of nine crashes of second1 no line told which requests were equal, and attempts without a head or a prompt left only "the connection was closed", as a reset connection does.

Each attempt whose replica then refuses connections now has a line with a digest of the whole request, the incarnation, the time since the send, the head and the first bytes, and the number of other requests of this gateway on the replica. A counter tells crashes from connections that break. The digest is taken after the crash, and callers do not wait for the probe: where the outcome matters for the log only, the exchange goes on first. Each failed attempt costs one more connection to the replica.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -5,26 +5,34 @@
 import org.guavapath.core.quarantine.PartKey
 import org.guavapath.core.time.MonotonicTime
 
-/** Finds out whether replicas whose connections close have crashed on the prompts that they began to answer. */
+/** Finds out whether replicas whose connections close have crashed, and reports those that prompts may have caused. */
 internal class CrashExaminer(
     private val pool: ReplicaPool,
     private val quarantine: QuarantineTask,
-    private val log: GatewayLog,
+    private val telemetry: GatewayTelemetry,
 ) {
+    private val log get() = telemetry.log
+
     /**
      * Examines the replica of [attempt], whose connection has closed, and then calls [then].
      *
-     * A replica that accepts a new connection has only broken off this response.
+     * A replica that accepts a new connection has only broken off this response. [then] is called at once if the
+     * outcome matters only for the log.
      */
     fun examine(attempt: Attempt, admitted: AdmittedRequest, then: () -> Unit) {
         val now = MonotonicTime.now()
         val progress = attempt.progress
         val prompt = admitted.request.prompt
         val stage = CrashStage.of(progress.headAt?.let { now - it }, hasBody = progress.firstBytesAt != null)
-        if (prompt == null || stage == null) return then()
         val replica = attempt.choice.record.entry
+        val cutOff = CutOffAttempt(attempt, now, othersRunning = attempt.choice.record.ownLoad.requests)
+        if (prompt == null || stage == null) {
+            then()
+            return pool.isRefusingConnections(replica) { isGone -> if (isGone) telemetry.cutOff(admitted, cutOff) }
+        }
         pool.isRefusingConnections(replica) { isGone ->
             if (isGone) {
+                telemetry.cutOff(admitted, cutOff)
                 val parts = PartKey.sharedPartsOf(prompt)
                 log.stateChange(
                     "replica crashed",
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -70,7 +70,7 @@
     val namedRates: NamedRateTask get() = host.namedRates
     val permits: PermitTask get() = host.permits
     private val returnTimes = ReturnTimes(fleet)
-    val crashes = CrashExaminer(pool, host.quarantine, telemetry.log)
+    val crashes = CrashExaminer(pool, host.quarantine, telemetry)
 
     /** Counts the first send of a request to [service]. */
     fun recordFirstSend(service: FleetService) = budget(service).recordFirstSend(MonotonicTime.now())
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -17,6 +17,13 @@
 /** The token bucket of [workspace] when it refused a request of [cost]. */
 internal class ExceededLimit(val workspace: WorkspaceName, val cost: Long, val bucket: BucketReading)
 
+/**
+ * An attempt whose connection closed at [at], with the requests of this VM that still ran on the replica.
+ *
+ * The connections of a crashed replica close one after the other, so that the first of its attempts has most others.
+ */
+internal class CutOffAttempt(val attempt: Attempt, val at: MonotonicTime, val othersRunning: Int)
+
 /**
  * Logs one JSON line for each decision on a request and each change of this VM's state.
  *
@@ -92,6 +99,27 @@
         "reason" to reason,
     )
 
+    /** Logs an attempt that ended with the crash of its replica. The line may follow the end of the request. */
+    fun cutOff(admitted: AdmittedRequest, cutOff: CutOffAttempt) {
+        val attempt = cutOff.attempt
+        val replica = attempt.choice.record.entry
+        write(
+            "attempt cut off by crash",
+            "suspectId" to admitted.request.id.text,
+            "requestDigest" to RequestDigest.of(admitted.incoming, admitted.workspace?.name).toString(),
+            "requestBytes" to admitted.incoming.bodySize,
+            "route" to admitted.route.name,
+            "workspace" to admitted.workspace?.name?.text,
+            "replica" to replica.id.text,
+            "incarnation" to replica.startedAt,
+            "afterMs" to (cutOff.at - attempt.startedAt).inWholeMilliseconds,
+            "sinceHeadMs" to attempt.progress.headAt?.let { (cutOff.at - it).inWholeMilliseconds },
+            "sinceFirstBytesMs" to attempt.progress.firstBytesAt?.let { (cutOff.at - it).inWholeMilliseconds },
+            "othersRunning" to cutOff.othersRunning,
+            "promptTokens" to admitted.request.prompt?.promptTokens,
+        )
+    }
+
     /** Logs the end of an admitted request. */
     fun ended(admitted: AdmittedRequest, result: ExchangeResult, sends: Int, firstEventAt: MonotonicTime?) = write(
         "ended",
@@ -127,6 +155,12 @@
 
 /** The log and the metrics; both record the end of each request. */
 internal class GatewayTelemetry(val log: GatewayLog, val metrics: GatewayMetrics) {
+    /** Records an attempt that ended with the crash of its replica. */
+    fun cutOff(admitted: AdmittedRequest, cutOff: CutOffAttempt) {
+        log.cutOff(admitted, cutOff)
+        metrics.cutOff(cutOff.attempt.progress)
+    }
+
     /** Records the end of an admitted request. */
     fun ended(admitted: AdmittedRequest, result: ExchangeResult, sends: Int, firstEventAt: MonotonicTime?) {
         log.ended(admitted, result, sends, firstEventAt)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
@@ -27,6 +27,16 @@
         registry.counter("guavapath.gateway.permits", Tags.of("granted", isGranted.toString())).increment()
     }
 
+    /** Counts an attempt that ended with the crash of its replica, by how much of its response had arrived. */
+    fun cutOff(progress: AttemptProgress) {
+        val arrived = when {
+            progress.firstBytesAt != null -> "body"
+            progress.headAt != null -> "head"
+            else -> "nothing"
+        }
+        registry.counter("guavapath.gateway.attempts.cut.off.by.crash", Tags.of("arrived", arrived)).increment()
+    }
+
     /** Records a request that ended and its duration. */
     fun ended(code: ResultCode, admitted: AdmittedRequest, firstEventAt: MonotonicTime?) {
         val tags = codeTags(code).and("route", admitted.route.name)
