Log an attempt that was cut off after its crash is reported

The line and its digest came before the report to the quarantine and before the exchange went on. Both now come first, so that the line delays neither.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -32,7 +32,6 @@
         }
         pool.isRefusingConnections(replica) { isGone ->
             if (isGone) {
-                telemetry.cutOff(admitted, cutOff)
                 val parts = PartKey.sharedPartsOf(prompt)
                 log.stateChange(
                     "replica crashed",
@@ -46,6 +45,7 @@
                 quarantine.report(CrashReport(replica.id, replica.startedAt, id, now, stage, parts))
             }
             then()
+            if (isGone) telemetry.cutOff(admitted, cutOff)
         }
     }
 }
