--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/FragileReplica.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/FragileReplica.kt
@@ -1,31 +1,62 @@
 package org.guavapath.daemon.gateway
 
 import org.guavapath.platform.wire.SampleFleet
+import org.guavapath.platform.wire.SampleRequest
+import org.guavapath.platform.wire.SampleRoute
 import java.io.BufferedReader
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketTimeoutException
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+import kotlin.time.TimeSource.Monotonic.ValueTimeMark
 
 /**
- * A replica of the sample fleet that crashes when it begins to answer a prompt with a part in [deadlyParts]: it sends
- * the head of the response, then all its connections close. It is back after [DOWNTIME] as a new incarnation.
+ * How a [FragileReplica] responds and crashes.
  *
- * @property isFramed whether responses are chunked; others end with their connection
+ * @property isFatal whether the replica crashes when it runs the request
+ * @property hasHead whether it sends the head of the response before it crashes
+ * @property timeToCrash time until the crash, from the head if there is one
+ * @property stopsWhenAbandoned whether it does not crash if the gateway closes the connection before
+ * @property isFramed whether streams are chunked; others end with their connection
+ * @property eventInterval time before each event of a stream
+ */
+internal class Fragility(
+    val isFatal: (SampleRequest) -> Boolean,
+    val hasHead: Boolean = true,
+    val timeToCrash: Duration = 60.milliseconds,
+    val stopsWhenAbandoned: Boolean = false,
+    val isFramed: Boolean = true,
+    val eventInterval: Duration = 10.milliseconds,
+)
+
+/** A fatal request that reached a replica [at], with the attempt [id], beside [others] that were running. */
+internal class FatalArrival(val id: String, val at: ValueTimeMark, val others: Int)
+
+/**
+ * A replica of the sample fleet that crashes on some requests: all its connections close. It is back after [DOWNTIME]
+ * as a new incarnation.
  */
 internal class FragileReplica(
     private val name: String,
-    private val deadlyParts: Set<String>,
-    private val isFramed: Boolean,
+    private val fragility: Fragility,
     private val onListed: (String, address: String, startedAt: Long) -> Unit,
 ) : AutoCloseable {
     private val connections = ConcurrentHashMap.newKeySet<Socket>()
     private val incarnation = AtomicInteger()
+    private val running = AtomicInteger()
+    private val arrivals = ConcurrentLinkedQueue<FatalArrival>()
+    private val crashed = ConcurrentLinkedQueue<ValueTimeMark>()
+
+    @Volatile
+    private var isClosed = false
 
     @Volatile
     private var listener = ServerSocket(0, BACKLOG, InetAddress.getByName(LOOPBACK))
@@ -33,6 +64,8 @@
 
     /** Number of crashes so far. */
     val crashes: Int get() = incarnation.get()
+    val crashTimes: List<ValueTimeMark> get() = crashed.toList()
+    val fatalArrivals: List<FatalArrival> get() = arrivals.toList()
 
     init {
         onListed(name, "$LOOPBACK:$port", FIRST_START)
@@ -52,33 +85,55 @@
         do {
             val head = readHead(input)
             val id = SampleFleet.attemptIdIn(head) ?: break
-            repeat(BODY_LENGTH) { input.read() }
-            val isDeadly = SampleFleet.partsIn(head).any { it in deadlyParts }
-            if (isDeadly) dieAnswering(id, socket, started) else answer(id, socket)
-        } while (isFramed && !isDeadly)
+            val body = String(CharArray(SampleRequest.bodyLength(head)) { input.read().toChar() })
+            val request = SampleRequest.received(head, body)
+            val isFatal = fragility.isFatal(request)
+            if (isFatal) {
+                arrivals.add(FatalArrival(id, TimeSource.Monotonic.markNow(), running.get()))
+                dieAnswering(id, request, socket, started)
+            } else {
+                running.incrementAndGet()
+                runCatching { answer(id, request, socket) }.also { running.decrementAndGet() }.getOrThrow()
+            }
+        } while (fragility.isFramed && !isFatal && incarnation.get() == started)
     }
 
-    private fun dieAnswering(id: String, socket: Socket, started: Int) {
-        sendHead(id, socket)
-        Thread.sleep(TIME_TO_CRASH.inWholeMilliseconds)
+    private fun dieAnswering(id: String, request: SampleRequest, socket: Socket, started: Int) {
+        if (fragility.hasHead) sendHead(id, request, socket)
+        if (fragility.stopsWhenAbandoned) {
+            if (isAbandoned(socket)) return
+        } else {
+            Thread.sleep(fragility.timeToCrash.inWholeMilliseconds)
+        }
         crash(started)
     }
 
-    private fun answer(id: String, socket: Socket) {
-        sendHead(id, socket)
+    /** Waits for the time to the crash and returns whether the gateway closes the connection [socket] before. */
+    private fun isAbandoned(socket: Socket): Boolean {
+        socket.soTimeout = fragility.timeToCrash.inWholeMilliseconds.toInt()
+        return runCatching { socket.getInputStream().read() }.exceptionOrNull() !is SocketTimeoutException
+    }
+
+    private fun answer(id: String, request: SampleRequest, socket: Socket) {
+        sendHead(id, request, socket)
         val output = socket.getOutputStream()
+        if (request.route != SampleRoute.PROMPTS) return output.write(PLAIN_BODY.toByteArray())
         for (event in 1..EVENTS) {
-            Thread.sleep(EVENT_INTERVAL.inWholeMilliseconds)
+            Thread.sleep(fragility.eventInterval.inWholeMilliseconds)
             val text = "id: $event\ndata: a\n\n"
-            val chunk = if (isFramed) "${text.length.toString(HEXADECIMAL)}\r\n$text\r\n" else text
+            val chunk = if (fragility.isFramed) "${text.length.toString(HEXADECIMAL)}\r\n$text\r\n" else text
             output.write(chunk.toByteArray())
         }
-        if (isFramed) output.write("0\r\n\r\n".toByteArray())
+        if (fragility.isFramed) output.write("0\r\n\r\n".toByteArray())
     }
 
-    private fun sendHead(id: String, socket: Socket) {
+    private fun sendHead(id: String, request: SampleRequest, socket: Socket) {
         Thread.sleep(PREFILL_TIME.inWholeMilliseconds)
-        socket.getOutputStream().write(SampleFleet.responseHead(id, isFramed).toByteArray())
+        val head = when (request.route) {
+            SampleRoute.PROMPTS -> SampleFleet.responseHead(id, fragility.isFramed)
+            SampleRoute.LOOKUPS, SampleRoute.ORDERS -> SampleRequest.plainResponseHead(id, PLAIN_BODY.length)
+        }
+        socket.getOutputStream().write(head.toByteArray())
     }
 
     private fun readHead(input: BufferedReader): List<String> =
@@ -87,20 +142,30 @@
     /** Ends the incarnation [ended] as a process that dies would; does nothing if it has ended already. */
     fun crash(ended: Int = incarnation.get()) {
         if (!incarnation.compareAndSet(ended, ended + 1)) return
+        crashed.add(TimeSource.Monotonic.markNow())
         listener.close()
         connections.forEach { it.close() }
         connections.clear()
         thread(isDaemon = true) {
             Thread.sleep(DOWNTIME.inWholeMilliseconds)
-            val restarted = ServerSocket().apply { reuseAddress = true }
-            restarted.bind(InetSocketAddress(LOOPBACK, port), BACKLOG)
-            listener = restarted
-            onListed(name, "$LOOPBACK:$port", FIRST_START + crashes)
-            acceptAll(restarted)
+            restart()
+        }
+    }
+
+    /** Listens again as soon as no outgoing connection of another socket has the port. */
+    private fun restart() {
+        val restarted = ServerSocket().apply { reuseAddress = true }
+        while (runCatching { restarted.bind(InetSocketAddress(LOOPBACK, port), BACKLOG) }.isFailure) {
+            Thread.sleep(BIND_PAUSE.inWholeMilliseconds)
         }
+        listener = restarted
+        if (isClosed) return restarted.close()
+        onListed(name, "$LOOPBACK:$port", FIRST_START + crashes)
+        acceptAll(restarted)
     }
 
     override fun close() {
+        isClosed = true
         listener.close()
         connections.forEach { it.close() }
     }
@@ -109,12 +174,11 @@
         const val LOOPBACK = "127.0.0.1"
         const val BACKLOG = 100
         const val FIRST_START = 1_000L
-        const val BODY_LENGTH = 2
         const val EVENTS = 3
         const val HEXADECIMAL = 16
+        const val PLAIN_BODY = "{\"ok\":true}"
         val PREFILL_TIME: Duration = 20.milliseconds
-        val TIME_TO_CRASH: Duration = 60.milliseconds
-        val EVENT_INTERVAL: Duration = 10.milliseconds
         val DOWNTIME: Duration = 500.milliseconds
+        val BIND_PAUSE: Duration = 20.milliseconds
     }
 }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/MemoryStore.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/MemoryStore.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.JsonElement
 import org.guavapath.core.store.Change
@@ -34,6 +35,10 @@
     @Volatile
     var isDown = false
 
+    /** Whether watches wait without end, so that gateways that a test leaves running do not slow down the next one. */
+    @Volatile
+    var isAbandoned = false
+
     /** Number of changes so far. */
     val size: Int @Synchronized get() = log.size
 
@@ -95,11 +100,12 @@
         reads.incrementAndGet()
         val until = TimeSource.Monotonic.markNow() + timeout
         while (isWithoutChange(kind, after) && until.hasNotPassedNow()) delay(POLL_INTERVAL)
+        if (store.isAbandoned) awaitCancellation()
         return if (store.isDown) DOWN else Ok(store.changes(kind, after))
     }
 
-    private fun isWithoutChange(kind: ObjectKind, after: Revision): Boolean =
-        !store.isDown && (store.changes(kind, after) as? WatchResult.Changes)?.changes?.isEmpty() ?: false
+    private fun isWithoutChange(kind: ObjectKind, after: Revision): Boolean = !store.isDown && !store.isAbandoned &&
+        (store.changes(kind, after) as? WatchResult.Changes)?.changes?.isEmpty() ?: false
 
     override suspend fun read(kind: ObjectKind, name: String): Result<StoredObject?, StoreError> =
         if (store.isDown) DOWN else Ok(store.list(kind).objects[name])
