--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/PromptCrashTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/PromptCrashTest.kt
@@ -6,7 +6,9 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class PromptCrashTest {
     private class Case(val name: String, val deadlyPrompts: List<List<String>>, val isFramed: Boolean)
@@ -22,12 +24,13 @@
         Case("responses without a length", listOf(listOf("shared", "subject", "deadly")), isFramed = false),
     )
 
-    /** Sends one request for each of [prompts], one per [REQUEST_INTERVAL], to the gateways in turn. */
+    /** Sends one request for each of [prompts], one per [interval], to the gateways in turn. */
     private fun FragileFleet.sendAll(
         prompts: List<List<String>>,
+        interval: Duration = REQUEST_INTERVAL,
         beforeEach: (Int) -> Unit = {},
     ): List<CallerResponse> = prompts.mapIndexed { index, parts ->
-        Thread.sleep(REQUEST_INTERVAL.inWholeMilliseconds)
+        Thread.sleep(interval.inWholeMilliseconds)
         beforeEach(index)
         send(SampleRequest(SampleRoute.PROMPTS, "1", "{}", parts + "own$index"), gateway = index)
     }.map { it.get() }
@@ -58,6 +61,25 @@
         }
     }
 
+    /** Guards against evidence that counts only if the crash follows soon after the head of a response. */
+    @Test
+    fun findsAPartThatCrashesReplicasOneSecondAfterTheHead() {
+        val fragility = Fragility(::isDeadly, timeToCrash = 1.seconds, stopsWhenAbandoned = true)
+        FragileFleet(GATEWAYS, fragility).use { fleet ->
+            val responses = fleet.sendAll(List(SLOW_ROUNDS) { SOUND_PROMPTS + DEADLY_PROMPT }.flatten(), SLOW_INTERVAL)
+            assertContained("a head 1 s before the crash", DEADLY_PROMPT, fleet, responses)
+        }
+    }
+
+    /** Guards against evidence that counts only if the head of a response came before the crash. */
+    @Test
+    fun findsAPartThatCrashesReplicasBeforeTheHead() {
+        FragileFleet(GATEWAYS, Fragility(::isDeadly, hasHead = false)).use { fleet ->
+            val responses = fleet.sendAll(List(ROUNDS) { SOUND_PROMPTS + DEADLY_PROMPT }.flatten())
+            assertContained("no head before the crash", DEADLY_PROMPT, fleet, responses)
+        }
+    }
+
     /** Guards against refusing sound requests because their replicas crashed for other reasons. */
     @Test
     fun ordinaryCrashesQuarantineNothing() {
@@ -75,15 +97,20 @@
     private companion object {
         const val GATEWAYS = 2
         const val ROUNDS = 25
+        const val SLOW_ROUNDS = 12
         const val REQUESTS_PER_CRASH = 5
 
         /** The platform's rule bounds what may be sent after the fifth crash. */
         const val MAX_CRASHES = 5
         val REQUEST_INTERVAL = 40.milliseconds
+
+        /** A round then takes longer than a replica and, after the gateway has given it up, a second one to crash. */
+        val SLOW_INTERVAL = 450.milliseconds
         val SOUND_PROMPTS = listOf(
             listOf("shared", "subject"),
             listOf("shared", "other subject"),
             listOf("shared", "third subject"),
         )
+        val DEADLY_PROMPT = listOf(listOf("shared", "subject", "deadly"))
     }
 }
