--- a/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -13,12 +13,15 @@
 import org.guavapath.core.fleet.ServiceName
 import org.guavapath.core.fleet.WeightsNumber
 import org.guavapath.core.identity.FailureDomainName
+import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.core.weights.ReplacedWeightsPolicy
+import org.guavapath.core.weights.Staleness
 import org.guavapath.core.weights.TargetWeights
+import org.guavapath.core.weights.WeightsUse
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * A request to select a replica for.
@@ -49,6 +52,7 @@
  * @property source where the replica may fetch more of the prompt, null if prefill is as fast
  * @property path the prompt's path under the replica's weights, null for plain requests
  * @property weights weights that the replica is expected to serve the request with
+ * @property beginBy when the request must have begun, as these weights have been replaced; null if they have not
  */
 public data class ScoredReplica(
     public val record: ReplicaRecord,
@@ -58,6 +62,7 @@
     public val source: PromptSource?,
     public val path: PromptPath?,
     public val weights: WeightsNumber?,
+    public val beginBy: MonotonicTime? = null,
 ) {
     /** Returns how many tokens of [prompt] the replica has to prefill or fetch. */
     public fun uncachedTokens(prompt: PromptShape?): Long = maxOf(0, (prompt?.promptTokens ?: 0) - heldTokens)
@@ -74,7 +79,8 @@
     public data class Chosen(public val chosen: ScoredReplica, public val candidates: Int) : PlacementResult()
 
     /**
-     * No replica can take the request: none is listed, or all are draining, excluded or on weights that are too old.
+     * No replica can take the request: none is listed, or all are draining, excluded, or on weights that are too old or
+     * will be when the request begins.
      *
      * @property reason how many replicas remained after each check
      */
@@ -90,43 +96,74 @@
  * @param replicas all listed replicas
  * @param directory which replicas hold which prompts
  * @param weights the target weights of each model
+ * @param policy whether replicas with replaced weights may be used
+ * @param startedAt when this VM started
  */
 public class Placement(
     private val domain: FailureDomainName,
     private val replicas: ReplicaRegistry,
     private val directory: PromptDirectory,
     private val weights: TargetWeights,
+    private val policy: ReplacedWeightsPolicy = ReplacedWeightsPolicy(),
+    private val startedAt: MonotonicTime = MonotonicTime.ZERO,
 ) {
     /**
      * Returns the replica with the lowest cost for [request] at [now].
      *
      * Avoided replicas are considered only if no other is left, and replicas that are loading weights last of all.
+     * Replicas with weights that were replaced at an unknown time are considered only if there are no others.
      */
     public fun choose(request: PlacementRequest, now: MonotonicTime): PlacementResult {
         val listed = replicas.of(request.service)
         val usable = listed.filter { !it.entry.isDraining && it.entry.id !in request.excluded }
-        val current = usable.filter { isCurrentEnough(it, request.prompt, now) }
-        val open = current.filter { it.entry.id !in request.closed }
+        val uses = usable.groupBy { use(it, request.prompt, Duration.ZERO, now)::class }
+        val current = uses[WeightsUse.Unlimited::class].orEmpty() + uses[WeightsUse.Limited::class].orEmpty()
+        val lastResort = uses[WeightsUse.LastResort::class].orEmpty()
+        val chosen = listOf(current, lastResort).firstNotNullOfOrNull { bestOf(it, request, now) }
+        val open = current.ifEmpty { lastResort }
         return when {
-            current.isEmpty() ->
-                PlacementResult.NoReplica("${listed.size} listed, ${usable.size} usable, none with current weights")
-            open.isEmpty() -> PlacementResult.AllClosed
-            else -> best(open, Scorer(request, current.map { it.entry.id }.toSet(), now), now)
+            chosen != null -> chosen
+            open.isNotEmpty() && open.all { it.entry.id in request.closed } -> PlacementResult.AllClosed
+            else -> PlacementResult.NoReplica(
+                "${listed.size} listed, ${usable.size} usable, ${open.size} with current weights, none in time",
+            )
         }
     }
 
-    private fun best(open: List<ReplicaRecord>, scorer: Scorer, now: MonotonicTime): PlacementResult.Chosen {
-        val healthy = open.filter { !it.health.isAvoided(now) && it.loadingUntil <= now }
-        val candidates = healthy.ifEmpty { open.filter { it.loadingUntil <= now } }.ifEmpty { open }
-        val scored = candidates.map { scorer.score(it) }
-        val chosen = scored.minWith(compareBy<ScoredReplica> { it.cost }.thenBy { it.record.entry.id })
-        return PlacementResult.Chosen(chosen, candidates.size)
+    /** Returns the best of [current] at which the request begins in time, null if there is none. */
+    private fun bestOf(
+        current: List<ReplicaRecord>,
+        request: PlacementRequest,
+        now: MonotonicTime,
+    ): PlacementResult.Chosen? {
+        val open = current.filter { it.entry.id !in request.closed }
+        val scorer = Scorer(request, current.map { it.entry.id }.toSet(), now)
+        val idle = open.filter { it.loadingUntil <= now }
+        return sequenceOf(idle.filter { !it.health.isAvoided(now) }, idle, open).firstNotNullOfOrNull { candidates ->
+            candidates.mapNotNull { scorer.scoreIfInTime(it) }
+                .minWithOrNull(compareBy<ScoredReplica> { it.cost }.thenBy { it.record.entry.id })
+                ?.let { PlacementResult.Chosen(it, candidates.size) }
+        }
     }
 
-    private fun isCurrentEnough(record: ReplicaRecord, prompt: PromptShape?, now: MonotonicTime): Boolean {
-        val number = prompt?.let { record.weights(it.model) } ?: return true
-        return weights.outdatedFor(prompt.model, number, now) < MAX_STALENESS
-    }
+    /** Returns when a request must have begun that was sent to a replica with weights [number]; null if at any time. */
+    public fun beginBy(model: ModelName, number: WeightsNumber, now: MonotonicTime): MonotonicTime? =
+        when (val use = policy.use(weights.staleness(model, number, now), Duration.ZERO, now - startedAt)) {
+            WeightsUse.Unlimited -> null
+            is WeightsUse.Limited -> now + use.beginsWithin
+            is WeightsUse.LastResort -> now + use.beginsWithin
+            WeightsUse.Forbidden -> now
+        }
+
+    private fun use(record: ReplicaRecord, prompt: PromptShape?, wait: Duration, now: MonotonicTime): WeightsUse =
+        if (prompt == null) WeightsUse.Unlimited else policy.use(staleness(record, prompt, now), wait, now - startedAt)
+
+    private fun staleness(record: ReplicaRecord, prompt: PromptShape, now: MonotonicTime): Staleness =
+        expectedWeights(record, prompt, now)?.let { weights.staleness(prompt.model, it, now) } ?: Staleness.Current
+
+    /** A replica of unknown weights rejects requests that expect the newest if it does not have these. */
+    private fun expectedWeights(record: ReplicaRecord, prompt: PromptShape, now: MonotonicTime): WeightsNumber? =
+        record.expectedWeights(prompt.model, now) ?: weights.newest(prompt.model)
 
     /** Scores candidates for one request; replicas with the same weights share a path and its sources. */
     private inner class Scorer(
@@ -136,10 +173,21 @@
     ) {
         private val paths = HashMap<WeightsNumber?, Pair<PromptPath, PromptSources>>()
 
-        fun score(record: ReplicaRecord): ScoredReplica {
+        /** Returns null if the request would begin too late on the weights of [record]. */
+        fun scoreIfInTime(record: ReplicaRecord): ScoredReplica? {
+            val scored = score(record)
+            return when (val use = use(record, request.prompt, scored.expected, now)) {
+                WeightsUse.Unlimited -> scored
+                is WeightsUse.Limited -> scored.copy(beginBy = now + use.beginsWithin)
+                is WeightsUse.LastResort -> scored.copy(beginBy = now + use.beginsWithin)
+                WeightsUse.Forbidden -> null
+            }
+        }
+
+        private fun score(record: ReplicaRecord): ScoredReplica {
             val prompt = request.prompt ?: return scorePlain(record)
             val load = record.load(now)
-            val number = record.weights(prompt.model)
+            val number = expectedWeights(record, prompt, now)
             val (path, sources) = paths.getOrPut(number) { sourcesOf(prompt, number) }
             val held = directory.heldTokens(path, record.entry.id, Certainty.LIKELY, now)
             val source = sources.best(record.entry.id)
@@ -148,7 +196,7 @@
             val expected = batchTime(load, record.entry.slots) +
                 PREFILL_TIME_PER_TOKEN * (load.promptTokens + missing).toDouble() + FETCH_TIME_PER_TOKEN * fetched
             val isDuplicatePrefill = held + fetched < path.sharedTokens && sources.preferred != record.entry.id
-            val cost = replicaPenalty(record) + expected + stalenessPenalty(prompt, number, now) +
+            val cost = replicaPenalty(record) + expected + stalenessPenalty(staleness(record, prompt, now)) +
                 (if (isDuplicatePrefill) DUPLICATE_PREFILL_PENALTY else Duration.ZERO)
             return ScoredReplica(record, cost, expected, held, source, path, number)
         }
@@ -170,9 +218,11 @@
         return crossDomain + FAILURE_PENALTY * record.health.recentFailures + record.entry.warmUpLeft / WARM_UP_DIVISOR
     }
 
-    private fun stalenessPenalty(prompt: PromptShape, number: WeightsNumber?, now: MonotonicTime): Duration {
-        val age = number?.let { weights.outdatedFor(prompt.model, it, now) } ?: Duration.ZERO
-        return if (age > MAX_UNPENALIZED_STALENESS) STALE_WEIGHTS_PENALTY else Duration.ZERO
+    private fun stalenessPenalty(staleness: Staleness): Duration = when (staleness) {
+        Staleness.Current -> Duration.ZERO
+        is Staleness.Replaced ->
+            if (staleness.age > MAX_UNPENALIZED_STALENESS) STALE_WEIGHTS_PENALTY else Duration.ZERO
+        is Staleness.Unknown -> STALE_WEIGHTS_PENALTY
     }
 
     private fun batchTime(load: ReplicaLoad, slots: Int): Duration =
@@ -201,9 +251,6 @@
         val MAX_UNPENALIZED_STALENESS = 1300.milliseconds
         val STALE_WEIGHTS_PENALTY = 150.milliseconds
 
-        /** Requests must not start on weights replaced 6 s ago; the margin covers queueing and clock differences. */
-        val MAX_STALENESS = 5.seconds
-
         /**
          * Prefilling a shared part twice costs the fleet more than the request is worth, so the first requests go
          * to one replica unless it is busier than the others by this much.
--- a/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
@@ -13,10 +13,16 @@
  * State of a replica that the rollout depends on.
  *
  * @property id its identity
- * @property weights weights that it has loaded
+ * @property weights weights that it has loaded, null if they are not known
  * @property load number of queued and running requests
+ * @property isLoading whether it is known to load weights, ordered by any VM
  */
-public data class RolloutReplica(public val id: ReplicaId, public val weights: WeightsNumber, public val load: Int)
+public data class RolloutReplica(
+    public val id: ReplicaId,
+    public val weights: WeightsNumber?,
+    public val load: Int,
+    public val isLoading: Boolean = false,
+)
 
 /**
  * An order for one replica to load new weights.
@@ -35,16 +41,26 @@
  * Decides which replicas load new weights next.
  *
  * Loading is expensive and clears the cache, so the rollout first waits briefly for an even newer target. It then
- * updates a few replicas at a time while the others serve the traffic: those with the oldest weights first, and of
- * those the least loaded.
+ * updates a few replicas at a time while the others serve the traffic: those with the oldest weights first, of those
+ * the ones whose orders do not fail, and of those the least loaded. If loads take so long, or began so late, that not
+ * all replicas would be ordered while the weights before may still be used, more load at a time. Replicas whose weights
+ * may not be used any more serve no requests, so that they all load at once.
  *
+ * @param usableFor how long weights may be used after newer ones were named
  * @param startDelay how long after the newest target was set the first replica is ordered
  */
-public class Rollout(private val startDelay: Duration = START_DELAY) {
+public class Rollout(
+    private val usableFor: Duration = ReplacedWeightsPolicy().usableFor,
+    private val startDelay: Duration = START_DELAY,
+) {
     private class Attempt(val order: WeightsOrder, val startedAt: MonotonicTime)
 
+    /** Orders in a row that failed. */
+    private class Failures(val count: Int, val retryAt: MonotonicTime)
+
     private val active = HashMap<ReplicaId, Attempt>()
-    private val retryAt = HashMap<ReplicaId, MonotonicTime>()
+    private val failures = HashMap<ReplicaId, Failures>()
+    private var usualLoadTime = INITIAL_LOAD_TIME
 
     /** Replicas whose order has not ended yet. */
     public val orderedReplicas: Set<ReplicaId> get() = active.keys
@@ -58,31 +74,69 @@
     ): List<WeightsOrder> {
         val target = targets.newest(model) ?: return emptyList()
         removeStale(replicas, now)
-        val outdated = replicas.filter { it.weights < target }
-        val isUrgent = outdated.any { targets.outdatedFor(model, it.weights, now) > URGENT_STALENESS }
-        val isDue = isUrgent || targets.sinceNewest(model, now) >= startDelay
-        val free = if (isDue) maxConcurrent(replicas.size) - active.size else 0
-        return outdated
-            .filter { it.id !in active && (retryAt[it.id] ?: MonotonicTime.ZERO) <= now }
-            .sortedWith(compareBy<RolloutReplica> { it.weights }.thenBy { it.load })
-            .take(maxOf(0, free))
+        val outdated = replicas.filter { it.weights == null || it.weights < target }
+        if (outdated.isEmpty()) {
+            usualLoadTime = INITIAL_LOAD_TIME
+            return emptyList()
+        }
+        val ages = outdated.associate { it.id to age(model, targets, it, now) }
+        val (unusable, usable) = outdated.filter { isFree(it, now) }.partition { ages.getValue(it.id) >= usableFor }
+        val stillUsable = ages.filterValues { it < usableFor }
+        val age = stillUsable.values.maxOrNull() ?: Duration.ZERO
+        val isDue = age > usableFor / 2 || targets.sinceNewest(model, now) >= startDelay
+        val loading = active.keys + replicas.filter { it.isLoading }.map { it.id } - (ages.keys - stillUsable.keys)
+        val most = if (isDue) concurrency(replicas.size, stillUsable.size, usableFor - age, now) else 0
+        val next = usable.sortedWith(compareBy({ it.weights }, { failureRank(it) }, { it.load }))
+            .take(maxOf(0, most - loading.size))
+        return (unusable + next)
             .map { replica -> WeightsOrder(replica.id, model, target).also { active[replica.id] = Attempt(it, now) } }
     }
 
+    private fun failureRank(replica: RolloutReplica): Int = (failures[replica.id]?.count ?: 0) / RETRIES_AT_FIRST
+
+    private fun isFree(replica: RolloutReplica, now: MonotonicTime): Boolean =
+        replica.id !in active && (failures[replica.id]?.retryAt ?: MonotonicTime.ZERO) <= now
+
+    private fun age(model: ModelName, targets: TargetWeights, replica: RolloutReplica, now: MonotonicTime): Duration {
+        val weights = replica.weights ?: return targets.sinceNewest(model, now)
+        return when (val staleness = targets.staleness(model, weights, now)) {
+            Staleness.Current -> Duration.ZERO
+            is Staleness.Replaced -> staleness.age
+            is Staleness.Unknown -> maxOf(staleness.atLeast, usableFor * UNKNOWN_AGE_SHARE)
+        }
+    }
+
     /** Records that the order for [replica] ended; if it failed, it is retried after a delay. */
     public fun ended(replica: ReplicaId, isDone: Boolean, now: MonotonicTime) {
-        active.remove(replica)
-        if (isDone) retryAt.remove(replica) else retryAt[replica] = now + RETRY_DELAY
+        val attempt = active.remove(replica)
+        if (isDone) {
+            failures.remove(replica)
+        } else {
+            failures[replica] = Failures((failures[replica]?.count ?: 0) + 1, now + RETRY_DELAY)
+        }
+        if (isDone && attempt != null) usualLoadTime = (usualLoadTime + (now - attempt.startedAt)) / 2
     }
 
     private fun removeStale(replicas: List<RolloutReplica>, now: MonotonicTime) {
         val present = replicas.map { it.id }.toSet()
         active.values.removeIf { it.order.replica !in present || now - it.startedAt > ORDER_TIMEOUT }
-        retryAt.keys.retainAll(present)
+        failures.keys.retainAll(present)
     }
 
-    /** Bounds concurrent loads: the other replicas serve the traffic, and concurrent loads slow each other down. */
-    private fun maxConcurrent(replicas: Int): Int = ceil(replicas * MAX_CONCURRENT_SHARE).toInt()
+    /**
+     * Bounds concurrent loads: the other replicas serve the traffic, and concurrent loads slow each other down.
+     *
+     * @param timeLeft time in which the weights of the [outdated] replicas may still be used
+     */
+    private fun concurrency(replicas: Int, outdated: Int, timeLeft: Duration, now: MonotonicTime): Int {
+        val longest = active.values.maxOfOrNull { now - it.startedAt } ?: Duration.ZERO
+        val rounds = 1 + (timeLeft / maxOf(usualLoadTime, longest)).toInt()
+        val needed = ceil(outdated.toDouble() / rounds).toInt()
+        return maxOf(
+            ceil(replicas * MAX_CONCURRENT_SHARE).toInt(),
+            minOf(needed, ceil(replicas * MAX_LATE_CONCURRENT_SHARE).toInt()),
+        )
+    }
 
     private companion object {
         /**
@@ -90,13 +144,20 @@
          * takes about 2 s.
          */
         val START_DELAY = 400.milliseconds
-
-        /** Less than half of the 6 s after which the previous weights must not be used. */
-        val URGENT_STALENESS = 2500.milliseconds
         val RETRY_DELAY = 100.milliseconds
 
-        /** An order counts as failed by then: the longest stream and the load together take less than two seconds. */
-        val ORDER_TIMEOUT = 4.seconds
+        /** A load takes a fraction of a second, after the running requests have ended. */
+        val INITIAL_LOAD_TIME = 700.milliseconds
+
+        /** Longer than the order of a load is followed. */
+        val ORDER_TIMEOUT = 15.seconds
         const val MAX_CONCURRENT_SHARE = 0.28
+
+        /** The other half serves until the weights before may not be used any more. */
+        const val MAX_LATE_CONCURRENT_SHARE = 0.5
+        const val UNKNOWN_AGE_SHARE = 0.6
+
+        /** A lost response is more likely than a replica that fails all orders. */
+        const val RETRIES_AT_FIRST = 2
     }
 }
--- a/core/src/test/kotlin/org/guavapath/core/placement/PlacementTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/placement/PlacementTest.kt
@@ -19,6 +19,7 @@
 import kotlin.test.assertNotEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class PlacementTest {
@@ -96,6 +97,47 @@
         assertTrue(TestVm(four).refuses(request(prompt("a", "b"), excluded = four.map { it.id }.toSet())))
     }
 
+    /** Guards against requests that run on old weights because nobody knows which ones their replica has. */
+    @Test
+    fun requestsToReplicasOfUnknownWeightsExpectTheNewest() {
+        val cases = listOf(
+            Triple("unknown", emptyMap(), 3L),
+            Triple("listed", mapOf(model to WeightsNumber(2)), 2L),
+        )
+        cases.forEach { (name, weights, expected) ->
+            val vm = TestVm(listOf(replica("r1").copy(weights = weights)))
+            vm.weights.setTarget(model, WeightsNumber(2), MonotonicTime.ZERO)
+            vm.weights.setTarget(model, WeightsNumber(3), now)
+            assertEquals(WeightsNumber(expected), vm.choose(request(prompt("a", "b"))).weights, name)
+            val record = checkNotNull(vm.replicas[ReplicaId("r1")])
+            record.assumeWeights(model, WeightsNumber(3), now + 1.seconds)
+            assertEquals(WeightsNumber(3), vm.choose(request(prompt("a", "b"))).weights, "$name, assumed")
+            assertEquals(weights[model], record.weights(model), "$name: an assumption is not known")
+            val later = vm.choose(request(prompt("a", "b")), now + 1.seconds)
+            assertEquals(WeightsNumber(expected), later.weights, "$name, assumed before")
+        }
+    }
+
+    /** Guards against requests that are sent in time to replaced weights and begin too late behind those that wait. */
+    @Test
+    fun requestsThatWouldBeginTooLateOnReplacedWeightsGoElsewhere() {
+        val cases = listOf(
+            Triple("no queue", 0L, "r1"),
+            Triple("a queue that ends in time", 80_000L, "r1"),
+            Triple("a queue that ends too late", 160_000L, "r2"),
+        )
+        cases.forEach { (name, queuedTokens, expected) ->
+            val vm = TestVm(listOf(replica("r1", weights = 1), replica("r2", there, weights = 2)))
+            vm.weights.setTarget(model, WeightsNumber(1), MonotonicTime.ZERO)
+            vm.weights.setTarget(model, WeightsNumber(2), now + (-4).seconds)
+            checkNotNull(vm.replicas[ReplicaId("r1")]).requestSent(queuedTokens)
+            checkNotNull(vm.replicas[ReplicaId("r2")]).requestSent(queuedTokens + 50_000)
+            val chosen = vm.choose(request(prompt("a", "b")))
+            assertEquals(expected, chosen.record.entry.id.text, name)
+            assertEquals(if (expected == "r1") 1600.milliseconds else null, chosen.beginBy?.let { it - now }, name)
+        }
+    }
+
     @Test
     fun allVmsChooseTheSameReplicaForAnUncachedSharedPart() {
         val chosen = listOf(TestVm(four), TestVm(four, there), TestVm(four.reversed()))
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
@@ -8,15 +8,23 @@
 import org.guavapath.core.quota.FleetQuota
 import org.guavapath.core.throttling.NamedRates
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.core.time.StallDetector
+import org.guavapath.core.weights.ReplacedWeightsPolicy
 import org.guavapath.core.weights.TargetWeights
 
 /** This VM's view of the fleet. Confined to the event loop. */
-internal class FleetState(domain: FailureDomainName, startedAt: MonotonicTime, isFirstStart: Boolean) {
+internal class FleetState(
+    domain: FailureDomainName,
+    startedAt: MonotonicTime,
+    isFirstStart: Boolean,
+    val replacedWeights: ReplacedWeightsPolicy = ReplacedWeightsPolicy(),
+) {
     val replicas = ReplicaRegistry()
     val directory = PromptDirectory()
-    val weights = TargetWeights()
+    val weights = TargetWeights(areKnown = false)
     val quarantine = PromptQuarantine()
     val rates = NamedRates()
     val quota = FleetQuota(startedAt, isFirstStart)
-    val placement = Placement(domain, replicas, directory, weights)
+    val stalls = StallDetector()
+    val placement = Placement(domain, replicas, directory, weights, replacedWeights, startedAt)
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
@@ -28,7 +28,7 @@
     private val loader: WeightsLoader,
     private val peers: RolloutPeers,
 ) {
-    private val rollout = Rollout()
+    private val rollout = Rollout(fleet.replacedWeights.usableFor)
 
     suspend fun run(scope: CoroutineScope) {
         while (true) {
@@ -60,9 +60,9 @@
 
     private suspend fun step(scope: CoroutineScope, model: ModelName) {
         val now = MonotonicTime.now()
-        val replicas = fleet.replicas.all.filter { !it.entry.isDraining }.mapNotNull { record ->
-            record.weights(model)?.let { RolloutReplica(record.entry.id, it, record.load(now).requests) }
-        }
+        val serving = fleet.replicas.all.filter { it.weights(model) != null }.map { it.entry.service }.toSet()
+        val replicas = fleet.replicas.all.filter { !it.entry.isDraining && it.entry.service in serving }
+            .map { RolloutReplica(it.entry.id, it.weights(model), it.load(now).requests, it.loadingUntil > now) }
         val orders = rollout.next(model, fleet.weights, replicas, now)
         if (orders.isEmpty()) return
         val token = lease.confirmedToken()
@@ -79,7 +79,7 @@
             loader.load(order, replica, token) {
                 val message = PeerMessage.ReplicaLoading(
                     order.replica.text,
-                    WeightsLoader.LOAD_TIMEOUT.inWholeMilliseconds,
+                    WeightsLoader.LOADING_PERIOD.inWholeMilliseconds,
                 )
                 loading(message)
                 peers.broadcast(message)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -61,6 +61,17 @@
     var newestChange = Revision.NONE
         private set
 
+    /**
+     * Whether the last change of the copy was a change of the store that had just been made. Otherwise the copy was
+     * replaced, and what is new in it may have been written long before.
+     */
+    var isChangeWitnessed = false
+        private set
+
+    /** The objects that the last change concerned, oldest first; all of them if the copy was replaced. */
+    var changed = emptyList<StoredObject>()
+        private set
+
     /** Called when the copy was replaced by one of a later era. */
     var onRestored: () -> Unit = {}
 
@@ -149,6 +160,8 @@
             )
         }
         val isChanged = listing.objects != held || asOf == Revision.NONE
+        isChangeWitnessed = false
+        changed = listing.objects.values.toList()
         held.clear()
         held.putAll(listing.objects)
         asOf = listing.asOf
@@ -158,6 +171,8 @@
     }
 
     private fun apply(result: WatchResult.Changes) {
+        isChangeWitnessed = true
+        changed = result.changes.mapNotNull { it.present }
         result.changes.forEach { change ->
             val present = change.present
             if (present == null) held.remove(change.name) else held[change.name] = present
