--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
@@ -11,6 +11,7 @@
 import org.guavapath.core.weights.RolloutReplica
 import org.guavapath.core.weights.WeightsOrder
 import org.guavapath.daemon.peers.PeerMessage
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The rollout's access to the other gateways. */
@@ -73,21 +74,26 @@
 
     private suspend fun execute(order: WeightsOrder, token: Long) {
         val replica = fleet.replicas[order.replica]?.entry
+        var isAnnounced = false
         val outcome = if (replica == null) {
             LoadOutcome.FAILED
         } else {
             loader.load(order, replica, token) {
-                val message = PeerMessage.ReplicaLoading(
-                    order.replica.text,
-                    WeightsLoader.LOADING_PERIOD.inWholeMilliseconds,
-                )
-                loading(message)
-                peers.broadcast(message)
+                isAnnounced = true
+                announce(order, WeightsLoader.LOADING_PERIOD)
             }
         }
+        // A replica that does not load takes requests again.
+        if (isAnnounced && outcome != LoadOutcome.DONE) announce(order, Duration.ZERO)
         ended(order, outcome)
     }
 
+    private fun announce(order: WeightsOrder, duration: Duration) {
+        val message = PeerMessage.ReplicaLoading(order.replica.text, duration.inWholeMilliseconds)
+        loading(message)
+        peers.broadcast(message)
+    }
+
     private fun ended(order: WeightsOrder, outcome: LoadOutcome) {
         rollout.ended(order.replica, outcome == LoadOutcome.DONE, MonotonicTime.now())
         when (outcome) {
