A request that crashes each replica that runs it is held after three crashes in a row

Cause: the quarantine takes evidence from shared parts of prompts only, so that nothing remembered a plain request, or a last part, that had ended replicas.

Gateways remember by a digest of method, host, target, caller, model and body which requests replicas crashed with, whatever the time to the crash, with a head or none, and tell each other. A request is held at the third crash in a row: each time it was sent after the crash before was known, and none like it was answered since. It is refused at once with 5015, which names the crashes. What replicas ran that are lost at one moment counts once. RequestQuarantineTest: 3 crashes with 1 to 85 gateways, none of 1,000 sound draws held, bounded under a flood.

--- a/cli/src/main/kotlin/org/guavapath/cli/Explanation.kt
+++ b/cli/src/main/kotlin/org/guavapath/cli/Explanation.kt
@@ -32,6 +32,7 @@
 
         private const val RATE_EXCEEDED = 4001.0
         private const val PROMPT_QUARANTINED = 5013.0
+        private const val REQUEST_QUARANTINED = 5015.0
         private const val ANSWER_INCOMPLETE = 5004.0
 
         /** Returns the explanation of the request [id] from [lines]; null if no line has its identifier. */
@@ -73,6 +74,8 @@
                 last.number("code") == RATE_EXCEEDED -> rateExceededCause(last)
                 last.number("code") == PROMPT_QUARANTINED ->
                     "replicas crashed on prompts with a part of this one, which is refused until the quarantine ends"
+                last.number("code") == REQUEST_QUARANTINED ->
+                    "replicas crashed each time they ran this request: ${last.fields["detail"]}"
                 last.message == "refused" -> "refused before it was admitted: ${last.fields["detail"]}"
                 last.message != "ended" -> "not ended in these lines"
                 last.number("code") == ANSWER_INCOMPLETE && "firstEventMs" in last.fields ->
--- /dev/null
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/RequestKey.kt
@@ -0,0 +1,46 @@
+package org.guavapath.core.quarantine
+
+import com.dynatrace.hash4j.hashing.Hashing
+import org.guavapath.core.identity.ModelName
+import org.guavapath.core.identity.WorkspaceName
+
+/**
+ * Identity of a whole request: repeats of a request have the same key, whichever gateway they arrive at.
+ *
+ * @property bits hash of the host, the target, the workspace, the model and the body
+ */
+@JvmInline
+public value class RequestKey(public val bits: Long) {
+    override fun toString(): String = bits.toULong().toString(HEXADECIMAL)
+
+    /** Creates keys. */
+    public companion object {
+        private const val HEXADECIMAL = 16
+
+        /**
+         * Returns the key of the request for [target], the path with the query, on [host].
+         *
+         * Neither the id of the attempt nor other headers count, as they change with each repeat.
+         *
+         * @param workspace the caller's workspace, null on open routes
+         * @param model the model that is asked for, null without a prompt
+         */
+        public fun of(
+            host: String,
+            target: String,
+            workspace: WorkspaceName?,
+            model: ModelName?,
+            body: BodyDigest,
+        ): RequestKey {
+            val hash = Hashing.xxh3_64().hashStream()
+                .putString(host.lowercase())
+                .putString(target)
+                .putBoolean(workspace != null)
+                .putString(workspace?.text.orEmpty())
+                .putBoolean(model != null)
+                .putString(model?.text.orEmpty())
+                .putLong(body.bits)
+            return RequestKey(hash.asLong)
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/RequestQuarantine.kt
@@ -0,0 +1,100 @@
+/**
+ * Finds whole requests that crash the replicas which run them, and keeps them away from replicas.
+ *
+ * The evidence are crashes of replicas that had a request, whatever else they ran and however far the response was. A
+ * request is held at the third crash in a row: each time it had been sent again after the crash before was known, and
+ * no request like it was answered completely since. What ran beside it is not sent to crash after crash, and what
+ * several replicas ran that were lost at one moment counts once.
+ */
+package org.guavapath.core.quarantine
+
+import org.guavapath.core.time.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
+
+private const val INITIAL_CAPACITY = 64
+private const val LOAD_FACTOR = 0.75f
+
+/** One VM's view of the requests that replicas crashed with. VMs tell each other and merge it in any order. */
+public class RequestQuarantine {
+    /** Crashes by depth, and when a request like it was last answered. */
+    private class Record(val crashes: Map<Int, RequestCrash>, val answeredAt: MonotonicTime?) {
+        val current: List<RequestCrash>
+            get() = crashes.values.filter { answeredAt == null || it.at > answeredAt }.sortedBy { it.depth }
+    }
+
+    /** The least recently used keys are forgotten first, so that memory stays below 1 MB. */
+    private val records = object : LinkedHashMap<RequestKey, Record>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+        override fun removeEldestEntry(eldest: MutableMap.MutableEntry<RequestKey, Record>): Boolean = size > MAX_KEYS
+    }
+
+    /** All crashes that may still matter. */
+    public val crashes: List<RequestCrash> get() = records.values.flatMap { it.current }
+
+    /** Number of requests that are held at [now]. */
+    public fun held(now: MonotonicTime): Int = records.values.count { verdictOf(it, now) is RequestVerdict.Held }
+
+    /** Returns the number of crashes in a row with the request of [key]; a request that is sent now adds one. */
+    public fun depth(key: RequestKey): Int = known(key)?.current?.lastOrNull()?.depth ?: 0
+
+    /** Returns whether a request with [key] may be sent at [now]. */
+    public fun verdict(key: RequestKey, now: MonotonicTime): RequestVerdict =
+        known(key)?.let { verdictOf(it, now) } ?: RequestVerdict.Allowed
+
+    /** Records [crash], of this VM or another one; returns whether it is news. */
+    public fun add(crash: RequestCrash): Boolean {
+        val known = records[crash.key]
+        val isObsolete = known?.answeredAt.let { it != null && it >= crash.at }
+        val isKnown = known?.crashes?.get(crash.depth).let { it != null && it.at <= crash.at }
+        if (crash.depth > MAX_DEPTH || isObsolete || isKnown) return false
+        records[crash.key] = Record(known?.crashes.orEmpty() + (crash.depth to crash), known?.answeredAt)
+        return true
+    }
+
+    /** Records that a request with [key] was answered completely at [now]; returns whether that clears crashes. */
+    public fun answered(key: RequestKey, now: MonotonicTime): Boolean {
+        val known = known(key) ?: return false
+        val isNews = known.current.any { it.at <= now }
+        if (isNews) records[key] = Record(known.crashes, now)
+        return isNews
+    }
+
+    /** Forgets crashes that do not matter any more at [now]. */
+    public fun expire(now: MonotonicTime) {
+        records.values.removeIf { record ->
+            val newest = record.crashes.values.maxOf { it.at }
+            val retention = if (record.current.size < SUFFICIENT_DEPTH) SHORT_RETENTION else LONG_RETENTION
+            now - maxOf(newest, record.answeredAt ?: newest) > retention
+        }
+    }
+
+    private fun known(key: RequestKey): Record? = if (records.isEmpty()) null else records[key]
+
+    private fun verdictOf(record: Record, now: MonotonicTime): RequestVerdict {
+        val current = record.current
+        val last = current.lastOrNull()
+        if (last == null || last.depth < SUFFICIENT_DEPTH) return RequestVerdict.Allowed
+        val until = last.at + pause(last.depth)
+        return if (until <= now) RequestVerdict.Allowed else RequestVerdict.Held(until - now, current)
+    }
+
+    /** Each further crash doubles the pause; after three of them the request is held until it is forgotten. */
+    private fun pause(depth: Int): Duration =
+        if (depth >= MAX_DEPTH) LONG_RETENTION else FIRST_PAUSE * (1 shl (depth - SUFFICIENT_DEPTH))
+
+    /** Holds the number of crashes that suffice. */
+    public companion object {
+        /** Two crashes in a row may have other causes. */
+        public const val SUFFICIENT_DEPTH: Int = 3
+
+        /** The platform allows three sends after the third crash. */
+        private const val MAX_DEPTH = 6
+        private const val MAX_KEYS = 1_024
+        private val FIRST_PAUSE: Duration = 10.minutes
+
+        /** Callers repeat a request that has failed within minutes. */
+        private val SHORT_RETENTION: Duration = 10.minutes
+        private val LONG_RETENTION: Duration = 24.hours
+    }
+}
--- a/core/src/main/kotlin/org/guavapath/core/results/DispatchCode.kt
+++ b/core/src/main/kotlin/org/guavapath/core/results/DispatchCode.kt
@@ -133,4 +133,13 @@
         outcome = RunOutcome.NOT_RUN,
         sentence = "The endpoints get as many requests as they take; this one was not run.",
     )
+
+    /** Replicas crash while they run this request. */
+    public data object RequestQuarantined : DispatchCode(
+        number = 5015,
+        label = "request-quarantined",
+        status = HttpStatus.UNAVAILABLE,
+        outcome = RunOutcome.NOT_RUN,
+        sentence = "Endpoints failed on this request before; it was not run.",
+    )
 }
--- /dev/null
+++ b/core/src/test/kotlin/org/guavapath/core/quarantine/RequestQuarantineTest.kt
@@ -0,0 +1,178 @@
+package org.guavapath.core.quarantine
+
+import org.guavapath.core.fleet.ReplicaId
+import org.guavapath.core.fleet.ReplicaIncarnation
+import org.guavapath.core.identity.RequestId
+import org.guavapath.core.time.MonotonicTime
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+private val deadly = RequestKey(1)
+private val start = MonotonicTime.ZERO + 1.hours
+
+private fun crash(key: RequestKey, number: Int, at: MonotonicTime, depth: Int) =
+    RequestCrash(key, ReplicaIncarnation(ReplicaId("replica-$number"), 1), RequestId("request-$number"), at, depth)
+
+/** Requests of one key that arrive at [gateways] gateways, which hear of each other's news after [delay]. */
+private class Repeats(private val gateways: Int, private val delay: Duration, private val timeToCrash: Duration) {
+    private class Event(val at: MonotonicTime, val apply: () -> Unit)
+
+    private val views = List(gateways) { RequestQuarantine() }
+    private val events = ArrayList<Event>()
+    private val thirdCrashes = ArrayList<MonotonicTime>()
+    var sends = 0
+        private set
+
+    /** Sends more than three seconds after the third crash. */
+    var lateSends = 0
+        private set
+    val crashes: Int get() = thirdCrashes.size
+
+    fun play(interval: Duration, duration: Duration) {
+        var now = start
+        var arrival = 0
+        while (now < start + duration) {
+            events.filter { it.at <= now }.sortedBy { it.at }.forEach {
+                events.remove(it)
+                it.apply()
+            }
+            if ((now - start) >= interval * arrival) arrive(arrival++ % gateways, now)
+            now += 10.milliseconds
+        }
+    }
+
+    private fun arrive(gateway: Int, now: MonotonicTime) {
+        if (views[gateway].verdict(deadly, now) != RequestVerdict.Allowed) return
+        sends += 1
+        val third = thirdCrashes.getOrNull(2)
+        if (third != null && now - third > 3.seconds) lateSends += 1
+        val depth = views[gateway].depth(deadly)
+        val number = sends
+        events += Event(now + timeToCrash) {
+            val crash = crash(deadly, number, now + timeToCrash, depth + 1)
+            thirdCrashes += crash.at
+            views[gateway].add(crash)
+            (views - views[gateway]).forEach { view -> events += Event(crash.at + delay) { view.add(crash) } }
+        }
+    }
+}
+
+class RequestQuarantineTest {
+    /** @property isHeld whether the request is held after [history], ten seconds after the start */
+    private class Case(val name: String, val isHeld: Boolean, val history: RequestQuarantine.() -> Unit)
+
+    private fun RequestQuarantine.crashed(number: Int, after: Duration, depth: Int) =
+        add(crash(deadly, number, start + after, depth))
+
+    private val cases = listOf(
+        Case("nothing has crashed", false) {},
+        Case("two crashes in a row", false) {
+            crashed(1, 1.seconds, 1)
+            crashed(2, 2.seconds, 2)
+        },
+        Case("three crashes in a row", true) {
+            crashed(1, 1.seconds, 1)
+            crashed(2, 2.seconds, 2)
+            crashed(3, 3.seconds, 3)
+        },
+        Case("in another order", true) {
+            crashed(3, 3.seconds, 3)
+            crashed(1, 1.seconds, 1)
+            crashed(2, 2.seconds, 2)
+        },
+        Case("three replicas at one moment", false) {
+            crashed(1, 1.seconds, 1)
+            crashed(2, 1.seconds, 1)
+            crashed(3, 1.seconds, 1)
+        },
+        Case("answered before the last one", false) {
+            crashed(1, 1.seconds, 1)
+            crashed(2, 2.seconds, 2)
+            answered(deadly, start + 2500.milliseconds)
+            crashed(3, 3.seconds, 1)
+        },
+        Case("answered after all", false) {
+            crashed(1, 1.seconds, 1)
+            crashed(2, 2.seconds, 2)
+            crashed(3, 3.seconds, 3)
+            answered(deadly, start + 4.seconds)
+        },
+        Case("answered before, as heard later", true) {
+            crashed(1, 1.seconds, 1)
+            crashed(2, 2.seconds, 2)
+            crashed(3, 3.seconds, 3)
+            answered(deadly, start)
+        },
+        Case("another request", false) { (1..3).forEach { add(crash(RequestKey(2), it, start + 1.seconds * it, it)) } },
+    )
+
+    /** Guards against sending a request on that crashes each replica that runs it, and against holding others. */
+    @Test
+    fun aRequestIsHeldAtTheThirdCrashInARow() = cases.forEach { case ->
+        val quarantine = RequestQuarantine().apply { case.history(this) }
+        val verdict = quarantine.verdict(deadly, start + 10.seconds)
+        assertEquals(case.isHeld, verdict is RequestVerdict.Held, "${case.name}: $verdict")
+    }
+
+    /** Guards against more crashes, and more sends after the third one, than are allowed, over an hour. */
+    @Test
+    fun repeatsAtAnyGatewayAreContained() {
+        val delays = listOf(0, 100, 500)
+        val timesToCrash = listOf(10, 100, 1_000)
+        val times = delays.flatMap { delay -> timesToCrash.map { delay.milliseconds to it.milliseconds } }
+        listOf(1, 2, 8, 85).forEach { gateways ->
+            times.forEach { (delay, timeToCrash) ->
+                val repeats = Repeats(gateways, delay, timeToCrash)
+                repeats.play(timeToCrash + delay + 50.milliseconds, if (gateways == 2) 1.hours else 1.minutes)
+                val name = "$gateways gateways, delay $delay, crash after $timeToCrash"
+                if (gateways != 2) assertEquals(3, repeats.crashes, name)
+                assertTrue(repeats.lateSends <= 3, "$name: ${repeats.lateSends} late sends")
+            }
+        }
+    }
+
+    /** Guards against holding sound requests that other crashes hit once or twice while callers repeat them. */
+    @Test
+    fun soundRequestsThatOtherCrashesHitAreNotHeld() {
+        repeat(1_000) { seed ->
+            val random = Random(seed)
+            val quarantine = RequestQuarantine()
+            var now = start
+            repeat(random.nextInt(1, 4)) { round ->
+                val copies = random.nextInt(1, 4)
+                val depth = quarantine.depth(deadly)
+                now += random.nextInt(1, 5_000).milliseconds
+                repeat(copies) { copy -> quarantine.add(crash(deadly, 10 * round + copy, now, depth + 1)) }
+                if (round % 2 == 1) quarantine.answered(deadly, now + random.nextInt(1, 500).milliseconds)
+                now += 500.milliseconds
+            }
+            assertIs<RequestVerdict.Allowed>(quarantine.verdict(deadly, now), "seed $seed")
+        }
+    }
+
+    /** Guards against memory that grows with different requests, and against forgetting the one that repeats. */
+    @Test
+    fun aFloodOfDifferentRequestsCostsBoundedMemory() {
+        val quarantine = RequestQuarantine()
+        for (number in 1..10_000) {
+            val now = start + 1.milliseconds * number
+            quarantine.add(crash(RequestKey(1_000L + number), number, now, 1))
+            if (number % 1_000 == 0) quarantine.add(crash(deadly, number, now, quarantine.depth(deadly) + 1))
+            if (number % 100 == 0) quarantine.verdict(deadly, now)
+        }
+        assertTrue(quarantine.crashes.size <= 1_100, "${quarantine.crashes.size} crashes")
+        assertIs<RequestVerdict.Held>(quarantine.verdict(deadly, start + 10.seconds))
+        quarantine.expire(start + 1.hours)
+        assertEquals(setOf(deadly), quarantine.crashes.map { it.key }.toSet())
+        assertFailsWith<IllegalArgumentException> { crash(deadly, 1, start, 0) }
+    }
+}
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -9,6 +9,7 @@
 internal class CrashExaminer(
     private val pool: ReplicaPool,
     private val quarantine: QuarantineTask,
+    private val requests: RequestQuarantineTask,
     private val telemetry: GatewayTelemetry,
 ) {
     private val log get() = telemetry.log
@@ -16,8 +17,7 @@
     /**
      * Examines the replica of [attempt], whose connection has closed, and then calls [then].
      *
-     * A replica that accepts a new connection has only broken off this response. [then] is called at once if the
-     * outcome matters only for the log.
+     * A replica that accepts a new connection has only broken off this response.
      */
     fun examine(attempt: Attempt, admitted: AdmittedRequest, then: () -> Unit) {
         val now = MonotonicTime.now()
@@ -26,12 +26,11 @@
         val stage = CrashStage.of(progress.headAt?.let { now - it }, hasBody = progress.firstBytesAt != null)
         val replica = attempt.choice.record.entry
         val cutOff = CutOffAttempt(attempt, now, othersRunning = attempt.choice.record.ownLoad.requests)
-        if (prompt == null || stage == null) {
-            then()
-            return pool.isRefusingConnections(replica) { isGone -> if (isGone) telemetry.cutOff(admitted, cutOff) }
-        }
         pool.isRefusingConnections(replica) { isGone ->
             if (isGone) {
+                requests.crashed(admitted.key, replica.incarnation, admitted.request.id, now, attempt.depth)
+            }
+            if (isGone && prompt != null && stage != null) {
                 val parts = PartKey.sharedPartsOf(prompt)
                 log.stateChange(
                     "replica crashed",
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -48,17 +48,16 @@
         attempts.current?.setReading(true)
     }
 
-    /** Ends the request if its prompt has been quarantined since it was sent and no event has arrived. */
+    /** Ends the request if it, or its prompt, has been quarantined since it was sent and no event has arrived. */
     fun endIfQuarantined() {
-        val prompt = admitted.request.prompt
         val isWaiting = !completion.hasEnded && !relay.hasBegun && !attempts.isTrial
-        if (prompt == null || !isWaiting || !context.quarantine.isQuarantined(prompt)) return
+        val refusal = (if (isWaiting) attempts.refusalSinceSent else null) ?: return
         attempts.current?.let {
             attempts.countPossibleRun(it)
             it.cancel()
-            context.telemetry.log.attemptEnded(admitted, it, "its prompt is quarantined")
+            context.telemetry.log.attemptEnded(admitted, it, "it is quarantined")
         }
-        completion.fail(Refusal(DispatchCode.PromptQuarantined), attempts)
+        completion.fail(refusal, attempts)
     }
 
     private fun onAttemptEvent(attempt: Attempt, event: AttemptEvent) {
@@ -102,6 +101,7 @@
         when {
             !event.head.isSuccess -> handleFailure(attempt, event)
             relay.end() -> {
+                context.requestQuarantine.answered(admitted.key)
                 admitted.request.prompt?.let { context.quarantine.answered(it) }
                 completion.succeed(event.head.status, attempts.sends)
             }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -8,7 +8,6 @@
 import org.guavapath.core.placement.PlacementRequest
 import org.guavapath.core.placement.PlacementResult
 import org.guavapath.core.placement.ScoredReplica
-import org.guavapath.core.quarantine.QuarantineVerdict
 import org.guavapath.core.results.DispatchCode
 import org.guavapath.core.throttling.PermitDecision
 import org.guavapath.core.time.MonotonicTime
@@ -31,6 +30,7 @@
     private val history = SendHistory(admitted.route.retryPolicy, admitted.route.maxReplicas)
     private val instructions = InstructionsFactory(context, admitted)
     private val tried = HashSet<ReplicaId>()
+    private val quarantine = QuarantineRefusals(context, admitted)
 
     /** The running attempt, or the last one. */
     var current: Attempt? = null
@@ -42,28 +42,18 @@
     var isTrial = false
         private set
 
+    /** Returns how the request is refused if it would not be sent any more, null if it would. */
+    val refusalSinceSent: Refusal? get() = quarantine.sinceSent()
+
     /** Whether the request has ended and is not sent any more. */
     var isOver = false
 
     /** Sends the request, at once or soon, to the best replica not yet tried that takes it, or refuses it. */
     fun sendNext() {
-        val refusal = quarantineRefusal()
+        val refusal = quarantine.beforeSend { isTrial = true }
         if (refusal != null) onRefused(refusal) else sendToBest()
     }
 
-    private fun quarantineRefusal(): Refusal? {
-        val prompt = admitted.request.prompt ?: return null
-        return when (val verdict = context.quarantine.admit(prompt)) {
-            QuarantineVerdict.Allowed -> null
-            QuarantineVerdict.Trial -> {
-                isTrial = true
-                null
-            }
-            is QuarantineVerdict.Quarantined ->
-                Refusal(DispatchCode.PromptQuarantined, retryAfter = verdict.timeLeft)
-        }
-    }
-
     private fun sendToBest() {
         val owner = admitted.workspace?.takeIf { it.isIsolated }?.name
         val placementRequest = PlacementRequest(
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -7,6 +7,7 @@
 import org.guavapath.core.fleet.FleetService
 import org.guavapath.core.fleet.FleetWorkspace
 import org.guavapath.core.fleet.ServiceName
+import org.guavapath.core.quarantine.RequestKey
 import org.guavapath.core.quota.RetryBudget
 import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration
@@ -30,6 +31,9 @@
 ) {
     val service: FleetService get() = destination.service
 
+    /** Identity of the whole request; repeats have the same. */
+    val key: RequestKey = incoming.key(workspace?.name, request.prompt?.model)
+
     /** When the response is due: the caller's deadline or the end of the route's timeout, whichever is first. */
     val dueAt: MonotonicTime = minOf(request.deadline, request.receivedAt + route.timeout)
 }
@@ -42,6 +46,9 @@
     /** Keeps prompts that crash replicas away from them. */
     val quarantine: QuarantineTask
 
+    /** Keeps requests that crash replicas away from them. */
+    val requestQuarantine: RequestQuarantineTask
+
     /** Records the rates that replicas name. */
     val namedRates: NamedRateTask
 
@@ -70,10 +77,11 @@
     val waiting = LinkedHashSet<BeginningTimer>()
 
     val quarantine: QuarantineTask get() = host.quarantine
+    val requestQuarantine: RequestQuarantineTask get() = host.requestQuarantine
     val namedRates: NamedRateTask get() = host.namedRates
     val permits: PermitTask get() = host.permits
     private val returnTimes = ReturnTimes(fleet)
-    val crashes = CrashExaminer(pool, host.quarantine, telemetry)
+    val crashes = CrashExaminer(pool, host.quarantine, host.requestQuarantine, telemetry)
 
     /** Counts the first send of a request to [service]. */
     fun recordFirstSend(service: FleetService) = budget(service).recordFirstSend(MonotonicTime.now())
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
@@ -5,6 +5,7 @@
 import org.guavapath.core.placement.PromptDirectory
 import org.guavapath.core.placement.ReplicaRegistry
 import org.guavapath.core.quarantine.PromptQuarantine
+import org.guavapath.core.quarantine.RequestQuarantine
 import org.guavapath.core.quota.FleetQuota
 import org.guavapath.core.throttling.NamedRates
 import org.guavapath.core.time.MonotonicTime
@@ -23,6 +24,7 @@
     val directory = PromptDirectory()
     val weights = TargetWeights(areKnown = false)
     val quarantine = PromptQuarantine()
+    val requestQuarantine = RequestQuarantine()
     val rates = NamedRates()
     val quota = FleetQuota(startedAt, isFirstStart)
     val stalls = StallDetector()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -68,6 +68,7 @@
     private val targetAges = TargetAgeTask(fleet, exchange, log)
     private val storedCrashes = StoredCrashReports(store, settings.isFirstStart, log)
     override val quarantine = QuarantineTask(fleet, exchange, storedCrashes, log)
+    override val requestQuarantine = RequestQuarantineTask(fleet.requestQuarantine, exchange, log)
     private val arbitration = RateArbitration(settings.vm)
     private val ratePeers = LinkedRatePeers(settings.vm, topology, exchange)
     override val namedRates = NamedRateTask(fleet, arbitration, ratePeers, log)
@@ -112,7 +113,9 @@
         scope.launch { targetAges.run() }
         scope.launch { rollout.run(scope) }
         quarantine.onQuarantined = { exchanges.running.toList().forEach { it.endIfQuarantined() } }
+        requestQuarantine.onHeld = quarantine.onQuarantined
         scope.launch { quarantine.run(scope) }
+        scope.launch { requestQuarantine.run() }
         scope.launch { namedRates.run(scope) }
         scope.launch { permits.run() }
         scope.launch { operatorExchange.run() }
@@ -141,15 +144,16 @@
             is PeerMessage.OperatorTold -> operatorExchange.received(from, message)
             is PeerMessage.UsageTold -> {
                 exchange.usageReceived(from, message, fleet)
-                if (fleet.quota.isHub) publisher.scheduleUpdates()
+                publisher.scheduleUpdates(isOfHub = fleet.quota.isHub)
             }
             is PeerMessage.PromptsRead -> {
                 exchange.promptsReceived(message, fleet.directory)
                 publisher.relayPrompts(from, message)
-                if (fleet.quota.isHub) publisher.scheduleUpdates()
+                publisher.scheduleUpdates(isOfHub = fleet.quota.isHub)
             }
             is PeerMessage.ViewWanted -> viewExchange.share(from, message)
             is PeerMessage.PromptCrashes -> quarantine.received(from, message)
+            is PeerMessage.RequestCrashes -> requestQuarantine.received(from, message)
             is PeerMessage.OfRates -> permits.received(from, message)
             is PeerMessage.OfTargets -> targetAges.received(from, message)
             is PeerMessage.OfRollout -> {
@@ -171,6 +175,7 @@
     override suspend fun linked(peer: VmId) {
         log.stateChange("peer linked", "peer" to peer.text)
         quarantine.linked(peer)
+        requestQuarantine.linked(peer)
         namedRates.linked(peer)
         operatorExchange.linked(peer)
         targetAges.linked(peer)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -117,7 +117,7 @@
         write(
             "attempt cut off by crash",
             "suspectId" to admitted.request.id.text,
-            "requestDigest" to RequestDigest.of(admitted.incoming, admitted.workspace?.name).toString(),
+            "requestDigest" to admitted.key.toString(),
             "requestBytes" to admitted.incoming.bodySize,
             "route" to admitted.route.name,
             "workspace" to admitted.workspace?.name?.text,
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
@@ -56,6 +56,7 @@
         gauge("guavapath.gateway.reachable.share") { fleet.quota.reachableShare(MonotonicTime.now()) }
         gauge("guavapath.gateway.replicas.with.named.rate") { fleet.rates.limitedReplicas }
         gauge("guavapath.gateway.prompt.crash.reports") { fleet.quarantine.reports.size }
+        gauge("guavapath.gateway.held.requests") { fleet.requestQuarantine.held(MonotonicTime.now()) }
         gauge("guavapath.gateway.quarantined.prompts") { fleet.quarantine.quarantined.size }
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/IncomingRequest.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/IncomingRequest.kt
@@ -4,6 +4,10 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
+import org.guavapath.core.identity.ModelName
+import org.guavapath.core.identity.WorkspaceName
+import org.guavapath.core.quarantine.BodyDigest
+import org.guavapath.core.quarantine.RequestKey
 import org.guavapath.core.time.MonotonicTime
 import java.io.ByteArrayOutputStream
 
@@ -17,6 +21,8 @@
     val isKeepAlive: Boolean = HttpUtil.isKeepAlive(request)
     private val bytes = ByteArrayOutputStream()
 
+    private val bodyDigest = BodyDigest()
+
     val path: String get() = target.substringBefore('?')
     val body: ByteArray get() = bytes.toByteArray()
     val bodySize: Int get() = bytes.size()
@@ -24,7 +30,14 @@
     /** Value of the Host header without the port. */
     val host: String get() = headers.get("Host").orEmpty().substringBefore(':')
 
-    fun append(part: ByteArray) = bytes.write(part)
+    /** Returns the key that repeats of this request by callers of [workspace] for [model] have too. */
+    fun key(workspace: WorkspaceName?, model: ModelName?): RequestKey =
+        RequestKey.of(host, "${method.name()} $target", workspace, model, bodyDigest)
+
+    fun append(part: ByteArray) {
+        bytes.write(part)
+        bodyDigest.append(part)
+    }
 
     /**
      * Returns why the request is malformed, or null if it is valid.
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerPublisher.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerPublisher.kt
@@ -39,7 +39,8 @@
     }
 
     /** Schedules usage and prompt updates after a request was sent here or reported by another gateway. */
-    fun scheduleUpdates() {
+    fun scheduleUpdates(isOfHub: Boolean = true) {
+        if (!isOfHub) return
         usageUpdates.trySend(Unit)
         promptUpdates.trySend(Unit)
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -216,6 +216,39 @@
         val trials: Int,
     )
 
+    /**
+     * Crashes of replicas that had certain requests, and which of these requests were answered since.
+     *
+     * @property answeredAgo by key, milliseconds since a request like it was answered completely
+     * @property isGreeting whether the link is new, so that the receiver answers with what it knows
+     */
+    @Serializable
+    data class RequestCrashes(
+        val crashes: List<SharedRequestCrash>,
+        val answeredAgo: Map<Long, Long>,
+        val isGreeting: Boolean,
+    ) : OfFleet() {
+        override val sinceVersion: Int get() = VERSION_OF_SUSPECTS_AND_AGES
+    }
+
+    /**
+     * A replica crashed while it had a request.
+     *
+     * @property key hash of the whole request
+     * @property startedAt start of the incarnation that crashed, in Unix milliseconds
+     * @property ageMilliseconds time since the crash
+     * @property depth number of crashes in a row
+     */
+    @Serializable
+    data class SharedRequestCrash(
+        val key: Long,
+        val replica: String,
+        val startedAt: Long,
+        val request: RequestId,
+        val ageMilliseconds: Long,
+        val depth: Int,
+    )
+
     /** A message about the rates of requests that replicas name. */
     @Serializable
     sealed class OfRates : OfFleet() {
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/RequestDigestTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/RequestIdentityTest.kt
@@ -4,11 +4,12 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
 import org.guavapath.core.identity.WorkspaceName
+import org.guavapath.core.quarantine.RequestKey
 import org.guavapath.core.time.MonotonicTime
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
-class RequestDigestTest {
+class RequestIdentityTest {
     private class Case(
         val name: String,
         val isRepeat: Boolean,
@@ -17,13 +18,13 @@
         val workspace: String? = "first",
         val body: List<String> = listOf("body"),
     ) {
-        fun digest(): RequestDigest {
+        fun key(): RequestKey {
             val (method, target) = requestLine.split(' ')
             val request = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target)
             headers.forEach { (name, value) -> request.headers().add(name, value) }
             val incoming = IncomingRequest(request, MonotonicTime.ZERO)
             body.forEach { incoming.append(it.toByteArray()) }
-            return RequestDigest.of(incoming, workspace?.let(::WorkspaceName))
+            return incoming.key(workspace?.let(::WorkspaceName), model = null)
         }
     }
 
@@ -49,8 +50,8 @@
     )
 
     @Test
-    fun repeatsHaveEqualDigests() {
-        val first = Case("the first", isRepeat = true).digest()
-        cases.forEach { assertEquals(it.isRepeat, it.digest() == first, it.name) }
+    fun repeatsHaveEqualKeys() {
+        val first = Case("the first", isRepeat = true).key()
+        cases.forEach { assertEquals(it.isRepeat, it.key() == first, it.name) }
     }
 }
