--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/PromptCrashTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/PromptCrashTest.kt
@@ -63,7 +63,6 @@
             val responses = fleet.sendAll(List(ROUNDS) { SOUND_PROMPTS + case.deadlyPrompts }.flatten())
             assertContained(case.name, case.deadlyPrompts, fleet, responses)
         }
-    }
 
     /** Guards against evidence that counts only if the crash follows soon after the head of a response. */
     @Test
