Log lines and metrics of the rollout: holder, candidates, beliefs about weights, replicas behind

A refused order says how long the report took and how old the confirmation of the lease was; each gateway logs which holder it knows, when it becomes a candidate, and from whom it has that a replica changed its weights, for which incarnation. Gauges: replicas behind their target, and for how long; counter: orders by outcome.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -77,7 +77,7 @@
     }
     private val publisher = PeerPublisher(incarnation, fleet, viewExchange, peers, topology, exchange)
     private val loader = WeightsLoader(settings.vm.text, lease, ReplicaControlClient(pool, namedRates, permits), log)
-    private val rollout = RolloutTask(fleet, lease, loader, exchange)
+    private val rollout = RolloutTask(fleet, lease, loader, exchange, telemetry)
     private val exchanges = ExchangeContext(loop, pool, fleet, telemetry, settings, this)
     private val admission = AdmissionHandler(exchanges, operator)
 
@@ -157,7 +157,7 @@
             is PeerMessage.OfRates -> permits.received(from, message)
             is PeerMessage.OfTargets -> targetAges.received(from, message)
             is PeerMessage.OfRollout -> {
-                rollout.received(message)
+                rollout.received(from, message)
                 exchange.relay(from, message)
             }
             else -> Unit
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
@@ -7,6 +7,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.guavapath.core.results.ResultCode
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.core.weights.RolloutProgress
 import org.guavapath.daemon.logging.LogDropCounter
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -37,6 +38,11 @@
         registry.counter("guavapath.gateway.attempts.cut.off.by.crash", Tags.of("arrived", arrived)).increment()
     }
 
+    /** Counts an order to load weights by its [outcome]. */
+    fun weightsOrdered(outcome: LoadOutcome) {
+        registry.counter("guavapath.gateway.weights.orders", Tags.of("outcome", outcome.name.lowercase())).increment()
+    }
+
     /** Records a request that ended and its duration. */
     fun ended(code: ResultCode, admitted: AdmittedRequest, firstEventAt: MonotonicTime?) {
         val tags = codeTags(code).and("route", admitted.route.name)
@@ -57,6 +63,9 @@
         gauge("guavapath.gateway.replicas.with.named.rate") { fleet.rates.limitedReplicas }
         gauge("guavapath.gateway.prompt.crash.reports") { fleet.quarantine.reports.size }
         gauge("guavapath.gateway.held.requests") { fleet.requestQuarantine.held(MonotonicTime.now()) }
+        val progress = { RolloutProgress.of(fleet.weights, fleet.replicas.all, MonotonicTime.now()) }
+        gauge("guavapath.gateway.replicas.behind.weights") { progress().behind }
+        gauge("guavapath.gateway.replicas.behind.weights.milliseconds") { progress().longest.inWholeMilliseconds }
         gauge("guavapath.gateway.quarantined.prompts") { fleet.quarantine.quarantined.size }
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
@@ -15,6 +15,7 @@
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.core.weights.FencingToken
 import org.guavapath.daemon.peers.PeerMessage
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -61,6 +62,12 @@
     fun holderReceived(holder: PeerMessage.RolloutHolder?) {
         val present = knownHolder
         if (holder != null && (present == null || holder.fencingToken > present.fencingToken)) {
+            log.stateChange(
+                "rollout holder known",
+                "holder" to holder.vm.text,
+                "token" to holder.fencingToken,
+                "former" to present?.vm?.text,
+            )
             knownHolder = holder
             confirmation = null
         }
@@ -76,6 +83,9 @@
         return knownHolder?.takeIf { it.vm == self && isUsable }?.fencingToken
     }
 
+    /** Time since the call that confirmed the lease last was made, null if it is not confirmed. */
+    val confirmationAge: Duration? get() = confirmation?.let { MonotonicTime.now() - it.at }
+
     /** Whether the last confirmation is still valid. */
     fun isConfirmed(): Boolean {
         val last = confirmation ?: return false
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
@@ -6,6 +6,7 @@
 import org.guavapath.core.fleet.ReplicaId
 import org.guavapath.core.fleet.WeightsNumber
 import org.guavapath.core.identity.ModelName
+import org.guavapath.core.identity.VmId
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.core.weights.Rollout
 import org.guavapath.core.weights.RolloutReplica
@@ -28,21 +29,25 @@
     private val lease: RolloutLease,
     private val loader: WeightsLoader,
     private val peers: RolloutPeers,
+    private val telemetry: GatewayTelemetry,
 ) {
     private val rollout = Rollout(fleet.replacedWeights.usableFor)
 
     suspend fun run(scope: CoroutineScope) {
+        var wasCandidate = false
         while (true) {
             val isCandidate = peers.isRolloutCandidate()
+            if (isCandidate != wasCandidate) logCandidate(isCandidate)
+            wasCandidate = isCandidate
             if (isCandidate) fleet.weights.newestOfAll().keys.forEach { step(scope, it) }
             delay(if (isCandidate) TICK else IDLE_TICK)
         }
     }
 
     /** Applies a message of the gateway that holds the lease. */
-    fun received(message: PeerMessage.OfRollout) = when (message) {
+    fun received(from: VmId, message: PeerMessage.OfRollout) = when (message) {
         is PeerMessage.ReplicaLoading -> loading(message)
-        is PeerMessage.ReplicaLoaded -> loaded(message)
+        is PeerMessage.ReplicaLoaded -> loaded(message, from)
     }
 
     /** Records that a replica is loading weights, ordered by this gateway or another. */
@@ -52,13 +57,31 @@
     }
 
     /** Records that a replica has new weights and an empty cache. */
-    private fun loaded(message: PeerMessage.ReplicaLoaded) {
+    private fun loaded(message: PeerMessage.ReplicaLoaded, from: VmId?) {
         val record = fleet.replicas[ReplicaId(message.replica)] ?: return
+        val model = ModelName(message.model)
+        val before = record.weights(model)
         record.loadingUntil = MonotonicTime.ZERO
-        record.recordWeights(ModelName(message.model), WeightsNumber(message.number))
+        record.recordWeights(model, WeightsNumber(message.number))
         fleet.directory.forget(record.entry.id)
+        telemetry.log.stateChange(
+            "replica weights told",
+            "replica" to message.replica,
+            "incarnation" to record.entry.startedAt,
+            "from" to from?.text,
+            "weights" to message.number,
+            "before" to before?.number,
+            "listed" to record.entry.weights[model]?.number,
+        )
     }
 
+    private fun logCandidate(isCandidate: Boolean) = telemetry.log.stateChange(
+        "rollout candidate",
+        "isCandidate" to isCandidate,
+        "holder" to lease.knownHolder?.vm?.text,
+        "token" to lease.knownHolder?.fencingToken,
+    )
+
     private suspend fun step(scope: CoroutineScope, model: ModelName) {
         val now = MonotonicTime.now()
         val serving = fleet.replicas.all.filter { it.weights(model) != null }.map { it.entry.service }.toSet()
@@ -96,10 +119,11 @@
 
     private fun ended(order: WeightsOrder, outcome: LoadOutcome) {
         rollout.ended(order.replica, outcome == LoadOutcome.DONE, MonotonicTime.now())
+        telemetry.metrics.weightsOrdered(outcome)
         when (outcome) {
             LoadOutcome.DONE -> {
                 val message = PeerMessage.ReplicaLoaded(order.replica.text, order.model.text, order.target.number)
-                loaded(message)
+                loaded(message, from = null)
                 peers.broadcast(message)
             }
             LoadOutcome.FENCED -> lease.fenced()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
@@ -42,12 +42,21 @@
      * @param onLoading called right before, and again while the replica loads, at least once in [LOADING_PERIOD]
      */
     suspend fun load(order: WeightsOrder, replica: Replica, fencingToken: Long, onLoading: () -> Unit): LoadOutcome {
+        val askedAt = MonotonicTime.now()
         val before = report(replica)
         val reason = reasonNotToOrder(before)
         return when {
             before != null && hasTarget(before, order) -> LoadOutcome.DONE
             before == null || reason != null -> {
-                log.stateChange("weights not ordered", "replica" to replica.id.text, "reason" to reason)
+                log.stateChange(
+                    "weights not ordered",
+                    "replica" to replica.id.text,
+                    "incarnation" to replica.startedAt,
+                    "weights" to order.target.number,
+                    "reason" to reason,
+                    "reportMs" to (MonotonicTime.now() - askedAt).inWholeMilliseconds,
+                    "confirmationAgeMs" to lease.confirmationAge?.inWholeMilliseconds,
+                )
                 LoadOutcome.FAILED
             }
             else -> {
@@ -91,6 +100,7 @@
         log.stateChange(
             "weights ordered",
             "replica" to replica.id.text,
+            "incarnation" to replica.startedAt,
             "weights" to order.target.number,
             "token" to token,
             "acceptedOrders" to acceptedOrders,
