Simulate the convergence of weights after troubles, failing

- A holder that handles each event 350 to 600 ms late confirms the lease in time, but its confirmation of 700 ms has expired when the report that precedes each order comes.

--- /dev/null
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetGateway.kt
@@ -0,0 +1,225 @@
+package org.guavapath.core.weights
+
+import org.guavapath.core.identity.ModelName
+import org.guavapath.core.identity.VmId
+import org.guavapath.core.store.Revision
+import org.guavapath.core.time.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What gateways send each other. */
+internal sealed class FleetMessage {
+    data class Status(
+        val isServedByStore: Boolean,
+        val holder: FleetHolder?,
+        val changes: Map<FleetKind, Revision>,
+    ) : FleetMessage()
+
+    data class OfRollout(val message: RolloutMessage) : FleetMessage()
+
+    data class ViewWanted(val kind: FleetKind) : FleetMessage()
+
+    data class ViewContent(val kind: FleetKind, val listing: FleetListing) : FleetMessage()
+
+    /** The targets that the sender knows; a greeting is answered. */
+    data class Targets(val namings: Map<ModelName, List<TargetNaming>>, val isGreeting: Boolean) : FleetMessage()
+
+    data object AgesWanted : FleetMessage()
+
+    data class Ages(val namings: Map<ModelName, List<TargetNaming>>) : FleetMessage()
+}
+
+/** The messages of one gateway to the others. */
+internal interface FleetPeers {
+    val others: Set<VmId>
+
+    fun send(to: VmId, message: FleetMessage)
+}
+
+/** What one process of a gateway is started with. */
+internal interface FleetGatewayContext {
+    val vm: VmId
+    val incarnation: Int
+    val process: FleetProcess
+    val store: FleetStore
+    val calls: FleetReplicaCalls
+    val peers: FleetPeers
+
+    /** Traces [text]. */
+    fun trace(text: String)
+}
+
+/** One process of a gateway that may hold the rollout lease: the daemon's `RolloutTask` and `PeerExchange`. */
+internal class FleetGateway(private val context: FleetGatewayContext, private val decisions: RolloutDecisions) {
+    private val vm = context.vm
+    private val process = context.process
+    private val startedAt = process.clock.now
+    private val targets = TargetWeights(areKnown = false)
+    private val lease = FleetLease(vm, context.incarnation, context.store, process, context::trace)
+    private val loader = FleetLoader(
+        lease,
+        context.calls,
+        process,
+        { replica, report -> decisions.reported(replica, report, now) },
+        { order, text -> context.trace("${order.replica} weights ${order.target}: $text") },
+    )
+    private val weightsView =
+        FleetView(FleetKind.WEIGHTS, vm, context.store, lease, process) { listing, isWitnessed ->
+            listing.targets.forEach { named(it, isWitnessed) }
+            targets.listed()
+        }
+    private val views = listOf(
+        weightsView,
+        FleetView(FleetKind.REPLICAS, vm, context.store, lease, process) { listing, _ ->
+            decisions.listed(listing.entries, now)
+        },
+    )
+    private val statuses = HashMap<VmId, FleetMessage.Status>()
+    private val receivedAt = HashMap<VmId, MonotonicTime>()
+    private val now: MonotonicTime get() = process.clock.now
+
+    /** The holder of the lease as far as this gateway knows. */
+    val holder: VmId? get() = lease.knownHolder?.vm
+
+    fun start() {
+        lease.onRestored = { broadcast(FleetMessage.Targets(targets.namings(), isGreeting = false)) }
+        views.forEach { process.launch(it::follow) }
+        process.launch(::publish)
+        process.launch(::roll)
+        process.launch {
+            process.delay(LINK_TIME)
+            broadcast(FleetMessage.Targets(targets.namings(), isGreeting = true))
+            broadcast(FleetMessage.AgesWanted)
+        }
+    }
+
+    fun newest(model: ModelName) = targets.newest(model)
+
+    fun describe(replica: FleetReplica, model: ModelName) = decisions.describe(replica.id, model, now)
+
+    fun received(from: VmId, message: FleetMessage) {
+        when (message) {
+            is FleetMessage.Status -> statusReceived(from, message)
+            is FleetMessage.OfRollout -> decisions.received(message.message, now)
+            is FleetMessage.ViewWanted -> views.first { it.kind == message.kind }.content?.let {
+                context.peers.send(from, FleetMessage.ViewContent(message.kind, it))
+            }
+            is FleetMessage.ViewContent -> views.first { it.kind == message.kind }.adopt(message.listing)
+            is FleetMessage.Targets -> targetsReceived(from, message)
+            is FleetMessage.AgesWanted -> context.peers.send(from, FleetMessage.Ages(targets.namings()))
+            is FleetMessage.Ages -> agesReceived(message.namings)
+        }
+    }
+
+    private fun statusReceived(from: VmId, status: FleetMessage.Status) {
+        receivedAt[from] = now
+        lease.holderReceived(status.holder)
+        statuses[from] = status
+        views.filter { it.isWanted(status.changes.getValue(it.kind)) }
+            .forEach { context.peers.send(from, FleetMessage.ViewWanted(it.kind)) }
+    }
+
+    private fun targetsReceived(from: VmId, message: FleetMessage.Targets) {
+        message.namings.forEach { (model, namings) ->
+            set(model, namings.last().copy(learnedAt = now, witnessedAt = null, notBefore = null))
+        }
+        if (message.isGreeting) context.peers.send(from, FleetMessage.Targets(targets.namings(), isGreeting = false))
+    }
+
+    private fun agesReceived(namings: Map<ModelName, List<TargetNaming>>) =
+        namings.forEach { (model, told) -> targets.learn(model, told, UNCERTAINTY) }
+
+    private fun named(target: StoredTarget, isWitnessed: Boolean) =
+        set(target.model, TargetNaming(target.number, now, now.takeIf { isWitnessed }))
+
+    private fun set(model: ModelName, naming: TargetNaming) {
+        if (targets.setTarget(model, naming)) broadcast(FleetMessage.AgesWanted)
+    }
+
+    private suspend fun publish() {
+        while (true) {
+            process.delay(STATUS_INTERVAL)
+            val changes = views.associate { it.kind to it.newestChange }
+            broadcast(FleetMessage.Status(isStoreAvailable(), lease.knownHolder, changes))
+        }
+    }
+
+    private suspend fun roll() {
+        while (true) {
+            val isCandidate = isCandidate()
+            if (isCandidate) {
+                decisions.replicasToAsk(
+                    now
+                ).forEach { process.launch { loader.report(it, FleetLoader.REPORT_TIMEOUT) } }
+                targets.newestOfAll().keys.forEach { step(it) }
+            }
+            process.delay(if (isCandidate) TICK else IDLE_TICK)
+        }
+    }
+
+    private fun isStoreAvailable() = views.all { it.isAvailable } && !lease.isFailing
+
+    private fun isCandidate(): Boolean {
+        val states = statuses.mapValues { (other, status) ->
+            val isUpToDate = status.changes.getValue(FleetKind.WEIGHTS) >= weightsView.newestChange
+            HolderState(isAlive(other) && status.isServedByStore, isUpToDate)
+        }
+        val isSettled = context.peers.others.isEmpty() || now - startedAt > SETTLING_TIME
+        return decisions.isCandidate(holder, states, isSettled, now) && isStoreAvailable()
+    }
+
+    private fun isAlive(other: VmId) = now - (receivedAt[other] ?: startedAt) < ALIVE_TIMEOUT
+
+    private suspend fun step(model: ModelName) {
+        val orders = decisions.orders(targets, model, now)
+        if (orders.isEmpty()) return
+        val token = lease.confirmedToken()
+        orders.forEach { order ->
+            if (token == null) ended(order, FleetOutcome.FAILED) else process.launch { execute(order, token) }
+        }
+    }
+
+    private suspend fun execute(order: WeightsOrder, token: FencingToken) {
+        val replica = decisions.entry(order.replica)
+        var isAnnounced = false
+        val outcome = if (replica == null) {
+            FleetOutcome.FAILED
+        } else {
+            loader.load(order, replica, token) {
+                isAnnounced = true
+                announce(order, FleetLoader.LOADING_PERIOD)
+            }
+        }
+        if (isAnnounced && outcome != FleetOutcome.DONE) announce(order, Duration.ZERO)
+        ended(order, outcome, replica?.startedAt ?: 0)
+    }
+
+    private fun announce(order: WeightsOrder, duration: Duration) =
+        share(RolloutMessage.Loading(order.replica, duration))
+
+    private fun ended(order: WeightsOrder, outcome: FleetOutcome, startedAt: Long = 0) {
+        decisions.ended(order, outcome, now)
+        when (outcome) {
+            FleetOutcome.DONE -> share(RolloutMessage.Loaded(order.replica, startedAt, order.model, order.target))
+            FleetOutcome.FENCED -> lease.fenced()
+            FleetOutcome.FAILED -> Unit
+        }
+    }
+
+    private fun share(message: RolloutMessage) {
+        decisions.received(message, now)
+        broadcast(FleetMessage.OfRollout(message))
+    }
+
+    private fun broadcast(message: FleetMessage) = context.peers.others.forEach { context.peers.send(it, message) }
+
+    private companion object {
+        val TICK = 100.milliseconds
+        val IDLE_TICK = 250.milliseconds
+        val STATUS_INTERVAL = 250.milliseconds
+        val LINK_TIME = 200.milliseconds
+        val SETTLING_TIME = 1500.milliseconds
+        val ALIVE_TIMEOUT = 1500.milliseconds
+        val UNCERTAINTY = 50.milliseconds
+    }
+}
