Failing tests: replicas believed to have newer weights than they have

A replica that restarts has the weights of before. A message that it has loaded, an order that is carried out late, or a report that is handled after its restart was listed makes gateways believe in the newer ones. Neither its responses, nor its reports, which nobody asks for then, nor its list entry, if that is the same as before, correct this; it is never ordered again.

RolloutTask.loaded finds the record by the replica's id, whatever incarnation was meant; ReplicaRecord.recordWeights ignores older numbers, and update only compares the entry with the one seen before. In the row where the holder stands still no message is forged: its event loop handles the new list entry before the report of the incarnation before.

--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
@@ -1,6 +1,22 @@
 package org.guavapath.daemon.gateway
 
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.guavapath.core.identity.Incarnation
+import org.guavapath.core.identity.VmId
+import org.guavapath.daemon.peers.PeerHandshake
+import org.guavapath.daemon.peers.PeerMessage
+import org.guavapath.daemon.peers.PeerReceiver
+import org.guavapath.daemon.peers.PeerTask
+import org.guavapath.daemon.settings.ListenAddress
 import org.guavapath.platform.wire.SampleFleet
+import java.net.Socket
 import java.util.concurrent.Callable
 import java.util.concurrent.Executors
 import kotlin.concurrent.thread
@@ -12,6 +28,41 @@
 
 private const val MODEL = SampleFleet.WEIGHTS_NAME
 
+/** Sends messages to a gateway as another one would. */
+private class MessageSender : PeerReceiver, AutoCloseable {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val answers = Channel<PeerMessage>(Channel.UNLIMITED)
+    private val task = PeerTask(
+        ListenAddress("127.0.0.1", 0),
+        PeerHandshake(VmId("sender"), Incarnation(1), listOf("a secret of the samples")),
+    )
+
+    override suspend fun received(from: VmId, message: PeerMessage) {
+        if (message is PeerMessage.TargetAgesTold) answers.send(message)
+    }
+
+    override suspend fun linked(peer: VmId) = Unit
+
+    /** Sends [message] to [gateway], and waits until it has been handled. */
+    fun send(gateway: LoadingGateway, message: PeerMessage) = runBlocking {
+        val to = VmId(gateway.name)
+        task.keepLink(scope, gateway.settings.read().peers, this@MessageSender)
+        withTimeout(TIMEOUT) {
+            while (to !in task.linkedPeers) delay(POLL)
+            task.send(to, message)
+            task.send(to, PeerMessage.TargetAgesWanted(number = 1))
+            answers.receive()
+        }
+    }
+
+    override fun close() = scope.cancel()
+
+    private companion object {
+        val TIMEOUT = 5.seconds
+        val POLL = 10.milliseconds
+    }
+}
+
 /**
  * A disturbance of a fleet, and what is asserted of it. The gateway vm-0 has the lease before.
  *
@@ -42,6 +93,116 @@
         case.check(fleet, fleet.startWithHolder(case.others, case.peerSecret))
     }
 
+    /** Restarts [replica] on weights 1, and has [gateway] hear that it has loaded weights 2 before it is ordered to. */
+    private fun restartAndTellLoaded(fleet: LoadingFleet, replica: LoadableReplica, gateway: LoadingGateway) {
+        replica.isBlocked = true
+        replica.restart(mapOf(MODEL to 1))
+        fleet.await("the restart is noticed") { replica.reports > 1 }
+        MessageSender().use { it.send(gateway, PeerMessage.ReplicaLoaded(replica.name, MODEL, 2)) }
+        // An order that was under way as the message arrived has failed by then.
+        Thread.sleep(ORDER_TIME.inWholeMilliseconds)
+    }
+
+    /** Guards against a replica that is not ordered as it is taken for one that has loaded, before its restart. */
+    @Test
+    fun aLoadFromBeforeARestartDoesNotKeepAReplicaOutdated() = assertEach(
+        listOf(
+            Case("a message reaches the holder") { fleet, holder ->
+                restartAndTellLoaded(fleet, fleet.replicas.first(), holder)
+                fleet.replicas.first().isBlocked = false
+                fleet.assertLoaded(2)
+            },
+            Case("a message reaches the next holder") { fleet, holder ->
+                restartAndTellLoaded(fleet, fleet.replicas.first(), fleet.gateways.last())
+                holder.kill()
+                fleet.replicas.last().restart(mapOf(MODEL to 1))
+                fleet.replicas.first().isBlocked = false
+                fleet.assertLoaded(2)
+            },
+            Case("the holder stands still between report and restart", replicas = 1) { fleet, holder ->
+                restartWhileReported(fleet, holder)
+                fleet.assertLoaded(3)
+            },
+        ),
+    )
+
+    /** Has the only replica load weights 3 and restart on weights 2, while the holder stands still. */
+    private fun restartWhileReported(fleet: LoadingFleet, holder: LoadingGateway) {
+        val replica = fleet.replicas.single()
+        val door = replica.doors.first()
+        fleet.name(3)
+        fleet.await("the replica has loaded") { replica.weights() == 3 }
+        door.isHeld = true
+        fleet.await("the replica is asked") { door.pendingRequests > 0 }
+        holder.standStill()
+        Thread.sleep(REPORT_LAG.inWholeMilliseconds)
+        door.isHeld = false
+        fleet.await("the report is sent") { door.pendingRequests == 0 }
+        replica.restart(mapOf(MODEL to 2))
+        Thread.sleep(LISTING_TIME.inWholeMilliseconds)
+        holder.goOn()
+    }
+
+    /** Guards against belief in weights that each response of the replica contradicts. */
+    @Test
+    fun responsesWithOlderWeightsCorrectTheBeliefInNewerOnes() = assertEach(
+        listOf("the replica rejects requests" to false, "the replica runs them" to true).map { (name, isRun) ->
+            Case(name, replicas = 1, others = 0) { fleet, holder ->
+                val replica = fleet.replicas.single()
+                replica.ignoresExpectedWeights = isRun
+                restartAndTellLoaded(fleet, replica, holder)
+                replica.isBlocked = false
+                whileRequestsAreSent(holder) { fleet.assertLoaded(2) }
+            }
+        },
+    )
+
+    private fun whileRequestsAreSent(gateway: LoadingGateway, block: () -> Unit) {
+        val sender = thread(isDaemon = true) {
+            var id = FIRST_REQUEST
+            while (!Thread.interrupted()) {
+                val request = SampleFleet.request((id++).toString(HEXADECIMAL), listOf("own$id"))
+                Socket("127.0.0.1", gateway.settings.callers).use { socket ->
+                    socket.getOutputStream().write(request.toByteArray())
+                    socket.getInputStream().bufferedReader().readText()
+                }
+                runCatching { Thread.sleep(REQUEST_INTERVAL.inWholeMilliseconds) }.onFailure { return@thread }
+            }
+        }
+        try {
+            block()
+        } finally {
+            sender.interrupt()
+        }
+    }
+
+    /** Guards against older weights that a late order brings, unnoticed as the list entry is as before. */
+    @Test
+    fun aLateOrderForOlderWeightsIsFollowedByAnother() = assertEach(
+        listOf("the entry changes twice in between" to true, "the entry does not change" to false)
+            .map { (name, isWrittenBetween) ->
+                Case(name, replicas = 1, others = 0) { fleet, _ ->
+                    val replica = fleet.replicas.single()
+                    val isFirst = { order: ReceivedOrder -> replica.orders.first { it.version == 3 } === order }
+                    replica.fate = { if (it.version == 3 && isFirst(it)) OrderFate.HELD else OrderFate.PROCESSED }
+                    fleet.assertLoaded(3, fleet.name(3))
+                    fleet.assertLoaded(4, fleet.name(4))
+                    replica.isListing = false
+                    replica.restart(mapOf(MODEL to 3))
+                    fleet.assertLoaded(4)
+                    Thread.sleep(REPORT_TIME.inWholeMilliseconds)
+                    fleet.unseen {
+                        if (isWrittenBetween) replica.writeEntry()
+                        replica.releaseHeld()
+                        fleet.await("the late order is carried out") { replica.weights() == 3 }
+                        replica.writeEntry()
+                    }
+                    replica.isListing = true
+                    fleet.assertLoaded(4)
+                }
+            },
+    )
+
     /** A case in which [begin] comes before weights are named. */
     private fun named(name: String, begin: (LoadingFleet, LoadingGateway) -> Unit) = Case(name) { fleet, holder ->
         begin(fleet, holder)
@@ -165,7 +326,10 @@
 
     private companion object {
         const val OTHER = "other"
+        const val HEXADECIMAL = 16
+        const val FIRST_REQUEST = 16
         const val REPLICAS = 6
+        val REQUEST_INTERVAL = 50.milliseconds
         val NAME_INTERVAL = 100.milliseconds
         val SERIES_INTERVAL = 400.milliseconds
         val BUSY_TIME = 4.seconds
@@ -174,6 +338,12 @@
         /** Longer than gateways take to see a change of the list. */
         val LISTING_TIME = 700.milliseconds
 
+        /** Longer than a gateway waits for a report and the response to an order. */
+        val ORDER_TIME = 800.milliseconds
+
+        /** Longer than the reports of replicas lag behind. */
+        val REPORT_LAG = 200.milliseconds
+
         /** Longer than a gateway takes to learn from reports that a load has ended. */
         val REPORT_TIME = 600.milliseconds
     }
