Failing tests: a holder whose orders fail keeps the lease

Replicas stay on old weights while the gateway that holds the rollout lease does not reach them, or is too slow to order, although another gateway could.

RolloutCandidacy keeps a holder that is alive and served by the store, whatever its orders do. A holder that is slow confirms the lease in time, so that it does not count as failing; the confirmation is valid for 700 ms from the start of the store call, and has expired when the replica's report arrives, so that WeightsLoader.load gives up: with 400 ms for each call no order was sent at all, and all three replicas stayed old.

--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
@@ -209,6 +209,41 @@
         fleet.assertLoaded(3, fleet.name(3))
     }
 
+    private fun ordersOfHolder(fate: OrderFate, replicas: List<LoadableReplica>) =
+        replicas.forEach { it.fate = { order -> if (order.holder == "vm-0") fate else OrderFate.PROCESSED } }
+
+    /** Guards against a holder whose orders fail and that keeps the lease, although another gateway's would not. */
+    @Test
+    fun replicasThatTheHolderDoesNotReachAreOrderedByAnotherGateway() = assertEach(
+        listOf(
+            named("one refuses connections") { fleet, _ -> fleet.replicas.first().doors.first().close() },
+            named("all refuse connections") { fleet, _ -> fleet.replicas.forEach { it.doors.first().close() } },
+            named("one does not respond") { fleet, _ -> fleet.replicas.first().doors.first().isMute = true },
+            named("all respond after 600 ms") { fleet, _ -> delayResponses(fleet, 600.milliseconds) },
+            named("orders to one are lost") { fleet, _ -> ordersOfHolder(OrderFate.LOST, fleet.replicas.take(1)) },
+            named("orders to all are lost") { fleet, _ -> ordersOfHolder(OrderFate.LOST, fleet.replicas) },
+            named("orders to all are refused") { fleet, _ -> ordersOfHolder(OrderFate.REFUSED, fleet.replicas) },
+        ),
+    )
+
+    private fun delayResponses(fleet: LoadingFleet, latency: Duration) =
+        fleet.replicas.forEach { it.doors.first().latency = latency }
+
+    /** Guards against a holder that confirms the lease, but each time too late to send an order. */
+    @Test
+    fun aHolderThatIsTooSlowToOrderGivesWay() = assertEach(
+        listOf(
+            named("all its calls take 400 ms") { fleet, holder ->
+                holder.store.latency = 400.milliseconds
+                delayResponses(fleet, 400.milliseconds)
+            },
+            named("the store takes 550 ms, and replicas 200 ms") { fleet, holder ->
+                holder.store.latency = 550.milliseconds
+                delayResponses(fleet, 200.milliseconds)
+            },
+        ),
+    )
+
     /** Restarts [replicas], so that their weights are not known from before. */
     private fun listWithoutWeights(replicas: List<LoadableReplica>) = replicas.forEach {
         it.isListedWithoutWeights = true
