Failing test: two gateways take the rollout lease from each other

Replicas stay on old weights while two gateways that do not hear of each other both reach the store and the replicas. Each takes the lease when its confirmation of 700 ms expires, and may use it 1 s after it has taken it, by which time the other has taken it (RolloutLease.takeOver).

Four of six replicas were old 6 s after the name.

--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
@@ -244,6 +244,18 @@
         ),
     )
 
+    /** Guards against gateways that take the lease from each other before either may use it. */
+    @Test
+    fun gatewaysThatDoNotHearOfEachOtherDoNotKeepEachOtherFromOrdering() = assertEach(
+        listOf(
+            Case("they see the name 350 ms apart", REPLICAS, peerSecret = "another secret of the samples") { fleet, _ ->
+                fleet.gateways.last().store.watchDelay = 350.milliseconds
+                fleet.replicas.forEach { it.waitTime = 300.milliseconds }
+                fleet.assertLoaded(3, fleet.name(3))
+            },
+        ),
+    )
+
     /** Restarts [replicas], so that their weights are not known from before. */
     private fun listWithoutWeights(replicas: List<LoadableReplica>) = replicas.forEach {
         it.isListedWithoutWeights = true
