Failing test: replicas of a service that lists no weights

RolloutTask.step orders only replicas of services in which the weights of at least one are known. If all have restarted and list none, none is asked for its report, although each would tell its weights there.

--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
@@ -256,6 +256,12 @@
         ),
     )
 
+    /** Guards against replicas that are not ordered as none of their service lists its weights. */
+    @Test
+    fun replicasOfAServiceThatListsNoWeightsAreOrdered() = assertEach(
+        listOf(named("after a restart") { fleet, _ -> listWithoutWeights(fleet.replicas) }),
+    )
+
     /** Restarts [replicas], so that their weights are not known from before. */
     private fun listWithoutWeights(replicas: List<LoadableReplica>) = replicas.forEach {
         it.isListedWithoutWeights = true
