Loads that would end too late do not wait for running requests; two models do not forget each other's orders

Cause: each order waits for the running requests of its replica, which may last until their callers' deadline of 12 s, also if it is sent 5 s after the name; and a step for one model dropped the orders, failures and load times of the replicas of all other models.

Fix: an order that could not be done in time lets the replica load at once, its running requests go on. Orders, failures and load times are kept by model.

--- a/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
@@ -24,17 +24,28 @@
     public val isLoading: Boolean = false,
 )
 
+/** When a replica loads weights that it is ordered to load. */
+public sealed class LoadTime {
+    /** Once the requests that run there have ended, which may take as long as their callers wait. */
+    public data object AfterRequests : LoadTime()
+
+    /** At once; the requests that run there go on with the new weights. */
+    public data object AtOnce : LoadTime()
+}
+
 /**
  * An order for one replica to load new weights.
  *
  * @property replica the replica
  * @property model the model
  * @property target the weights to load
+ * @property time when to load them
  */
 public data class WeightsOrder(
     public val replica: ReplicaId,
     public val model: ModelName,
     public val target: WeightsNumber,
+    public val time: LoadTime = LoadTime.AfterRequests,
 )
 
 /**
@@ -44,7 +55,8 @@
  * updates a few replicas at a time while the others serve the traffic: those with the oldest weights first, of those
  * the ones whose orders do not fail, and of those the least loaded. If loads take so long, or began so late, that not
  * all replicas would be ordered while the weights before may still be used, more load at a time. Replicas whose weights
- * may not be used any more serve no requests, so that they all load at once.
+ * may not be used any more serve no requests, so that they all load at once. A replica that might not be done in time
+ * if it waited for its requests does not wait for them.
  *
  * @param usableFor how long weights may be used after newer ones were named
  * @param startDelay how long after the newest target was set the first replica is ordered
@@ -56,11 +68,11 @@
     private class Attempt(val order: WeightsOrder, val startedAt: MonotonicTime)
 
     /** Orders in a row that failed. */
-    private class Failures(val count: Int, val retryAt: MonotonicTime)
+    private class Failures(val model: ModelName?, val count: Int, val retryAt: MonotonicTime)
 
     private val active = HashMap<ReplicaId, Attempt>()
     private val failures = HashMap<ReplicaId, Failures>()
-    private var usualLoadTime = INITIAL_LOAD_TIME
+    private val usualLoadTimes = HashMap<ModelName, Duration>()
 
     /** Replicas whose order has not ended yet. */
     public val orderedReplicas: Set<ReplicaId> get() = active.keys
@@ -73,10 +85,10 @@
         now: MonotonicTime,
     ): List<WeightsOrder> {
         val target = targets.newest(model)
-        removeStale(replicas, now)
+        removeStale(model, replicas, now)
         val outdated = replicas.filter { target != null && (it.weights == null || it.weights < target) }
         if (target == null || outdated.isEmpty()) {
-            usualLoadTime = INITIAL_LOAD_TIME
+            usualLoadTimes.remove(model)
             return emptyList()
         }
         val ages = outdated.associate { it.id to age(model, targets, it, now) }
@@ -85,13 +97,22 @@
         val age = stillUsable.values.maxOrNull() ?: Duration.ZERO
         val isDue = age > usableFor / 2 || targets.sinceNewest(model, now) >= startDelay
         val loading = active.keys + replicas.filter { it.isLoading }.map { it.id } - (ages.keys - stillUsable.keys)
-        val most = if (isDue) concurrency(replicas.size, stillUsable.size, usableFor - age, now) else 0
+        val expected = maxOf(usualLoadTime(model), longestLoad(model, now))
+        val most = if (isDue) concurrency(replicas.size, stillUsable.size, (usableFor - age) / expected) else 0
         val next = usable.sortedWith(compareBy({ it.weights }, { failureRank(it) }, { it.load }))
             .take(maxOf(0, most - loading.size))
-        return (unusable + next)
-            .map { replica -> WeightsOrder(replica.id, model, target).also { active[replica.id] = Attempt(it, now) } }
+        return (unusable + next).map { replica ->
+            val isLate = ages.getValue(replica.id) + expected > usableFor
+            val time = if (isLate) LoadTime.AtOnce else LoadTime.AfterRequests
+            WeightsOrder(replica.id, model, target, time).also { active[replica.id] = Attempt(it, now) }
+        }
     }
 
+    private fun usualLoadTime(model: ModelName) = usualLoadTimes[model] ?: INITIAL_LOAD_TIME
+
+    private fun longestLoad(model: ModelName, now: MonotonicTime): Duration =
+        active.values.filter { it.order.model == model }.maxOfOrNull { now - it.startedAt } ?: Duration.ZERO
+
     private fun failureRank(replica: RolloutReplica): Int = (failures[replica.id]?.count ?: 0) / RETRIES_AT_FIRST
 
     private fun isFree(replica: RolloutReplica, now: MonotonicTime): Boolean =
@@ -112,25 +133,36 @@
         if (isDone) {
             failures.remove(replica)
         } else {
-            failures[replica] = Failures((failures[replica]?.count ?: 0) + 1, now + RETRY_DELAY)
+            failures[replica] =
+                Failures(attempt?.order?.model, (failures[replica]?.count ?: 0) + 1, now + RETRY_DELAY)
+        }
+        if (isDone && attempt != null) {
+            val model = attempt.order.model
+            usualLoadTimes[model] = (usualLoadTime(model) + (now - attempt.startedAt)) / 2
         }
-        if (isDone && attempt != null) usualLoadTime = (usualLoadTime + (now - attempt.startedAt)) / 2
     }
 
-    private fun removeStale(replicas: List<RolloutReplica>, now: MonotonicTime) {
+    /** Records that the order for [replica] was not sent. */
+    public fun notSent(replica: ReplicaId) {
+        active.remove(replica)
+    }
+
+    private fun removeStale(model: ModelName, replicas: List<RolloutReplica>, now: MonotonicTime) {
         val present = replicas.map { it.id }.toSet()
-        active.values.removeIf { it.order.replica !in present || now - it.startedAt > ORDER_TIMEOUT }
-        failures.keys.retainAll(present)
+        active.values.removeIf {
+            it.order.model == model && it.order.replica !in present || now - it.startedAt > ORDER_TIMEOUT
+        }
+        failures.entries.removeIf { (replica, failed) -> failed.model == model && replica !in present }
     }
 
     /**
      * Bounds concurrent loads: the other replicas serve the traffic, and concurrent loads slow each other down.
      *
-     * @param timeLeft time in which the weights of the [outdated] replicas may still be used
+     * @param loads how many loads, one after the other, fit into the time in which the weights of the [outdated]
+     *   replicas may still be used
      */
-    private fun concurrency(replicas: Int, outdated: Int, timeLeft: Duration, now: MonotonicTime): Int {
-        val longest = active.values.maxOfOrNull { now - it.startedAt } ?: Duration.ZERO
-        val rounds = 1 + (timeLeft / maxOf(usualLoadTime, longest)).toInt()
+    private fun concurrency(replicas: Int, outdated: Int, loads: Double): Int {
+        val rounds = 1 + loads.toInt()
         val needed = ceil(outdated.toDouble() / rounds).toInt()
         return maxOf(
             ceil(replicas * MAX_CONCURRENT_SHARE).toInt(),
