The rollout lease is held by a gateway that gets its orders through, and stays there

Cause, one class: holding the lease was taken for bringing replicas up to date. - A holder asked for a report between the confirmation of the lease and the order; if both took longer than a confirmation is valid, no order was ever sent, while each confirmation succeeded, so that no other gateway followed. - A gateway that thawed, started, or heard no other took the lease from a holder that was well; each take-over costs a second without orders, and the lease went to the gateway that was frozen next. - Orders that failed at one gateway only, or its slowness, were counted by nobody. - An unanswered order carried out late made all newer orders invalid, as each is valid for a number of accepted orders.

Fix: the lease is confirmed right before each order. A gateway that finds another holder in the store leaves it the lease; one that has not run takes it from nobody before it has heard of the others. A holder that is slow, or whose orders have no effect, invites the next gateway. Each target has a fencing token of its own, so that replicas reject late orders for earlier targets and any order for the newest one will do; where replicas check no tokens, orders stay bound to the number of accepted ones.

RolloutLeaseTest: another gateway now first leaves the lease to the holder that it finds in the store, then waits as before.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -62,8 +62,9 @@
     )
     private val liveness = PeerLiveness()
     private val viewExchange = ViewExchange(views, peers, topology, store)
-    private val lease = RolloutLease(settings.vm, incarnation, store, settings.isFirstStart, log)
-    private val exchange = PeerExchange(settings.vm, viewExchange, peers, topology, liveness, lease)
+    private val lease =
+        RolloutLease(settings.vm, incarnation, StoredRolloutLease(store, log), settings.isFirstStart, log)
+    private val exchange = PeerExchange(viewExchange, peers, topology, liveness, lease)
     private val operatorExchange = OperatorExchange(operator, exchange, store)
     private val targetAges = TargetAgeTask(fleet, exchange, log)
     private val storedCrashes = StoredCrashReports(store, settings.isFirstStart, log)
@@ -76,8 +77,16 @@
         members.fleetSize.takeIf { membersView.asOf > Revision.NONE }
     }
     private val publisher = PeerPublisher(incarnation, fleet, viewExchange, peers, topology, exchange)
-    private val loader = WeightsLoader(settings.vm.text, lease, ReplicaControlClient(pool, namedRates, permits), log)
-    private val rollout = RolloutTask(fleet, lease, loader, exchange, telemetry)
+    private val loader = WeightsLoader(
+        settings.vm.text,
+        lease,
+        ReplicaControlClient(pool, namedRates, permits),
+        settings.areOrdersFenced,
+        log,
+    )
+    private val rolloutMessages = RolloutMessages(fleet, log)
+    private val candidates = RolloutCandidates(settings.vm, exchange, viewExchange, peers, topology, liveness)
+    private val rollout = RolloutTask(fleet, lease, loader, rolloutMessages, candidates, telemetry)
     private val exchanges = ExchangeContext(loop, pool, fleet, telemetry, settings, this)
     private val admission = AdmissionHandler(exchanges, operator)
 
@@ -156,8 +165,9 @@
             is PeerMessage.RequestCrashes -> requestQuarantine.received(from, message)
             is PeerMessage.OfRates -> permits.received(from, message)
             is PeerMessage.OfTargets -> targetAges.received(from, message)
+            is PeerMessage.RolloutInvitation -> candidates.invited()
             is PeerMessage.OfRollout -> {
-                rollout.received(from, message)
+                rolloutMessages.received(from, message)
                 exchange.relay(from, message)
             }
             else -> Unit
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewaySettings.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewaySettings.kt
@@ -51,6 +51,7 @@
  * @property repeatWindowSeconds window over which [repeatRatio] holds
  * @property repeatSlack retries that the whole fleet may send beyond the ratio in a window
  * @property replacedWeightsMilliseconds time after which no request may begin on weights that were replaced
+ * @property areOrdersFenced whether replicas reject orders with a lower fencing token than they have seen
  * @property startupGraceMilliseconds time after its start in which a gateway is not held to that
  */
 @Serializable
@@ -71,6 +72,7 @@
     val repeatWindowSeconds: Long,
     val repeatSlack: Double,
     val replacedWeightsMilliseconds: Long = ReplacedWeightsPolicy.DEFAULT_BOUND.inWholeMilliseconds,
+    val areOrdersFenced: Boolean = false,
     val startupGraceMilliseconds: Long = ReplacedWeightsPolicy.DEFAULT_STARTUP_GRACE.inWholeMilliseconds,
 ) {
     val drainTimeout: Duration get() = drainMilliseconds.milliseconds
@@ -107,6 +109,7 @@
             required("repeatWindowSeconds", count)
             required("repeatSlack", Schema.Number(0.0, MAX_NUMBER.toDouble()))
             optional("replacedWeightsMilliseconds", Schema.WholeNumber(MIN_WEIGHTS_BOUND, MAX_NUMBER))
+            optional("areOrdersFenced", Schema.BooleanValue)
             optional("startupGraceMilliseconds", count)
         }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerExchange.kt
@@ -10,31 +10,27 @@
 import org.guavapath.core.routing.BlockHash
 import org.guavapath.core.store.StoreEra
 import org.guavapath.core.time.MonotonicTime
-import org.guavapath.core.weights.HolderState
-import org.guavapath.core.weights.RolloutCandidacy
 import org.guavapath.daemon.peers.PeerMessage
 import org.guavapath.daemon.peers.PeerSender
-import org.guavapath.platform.wire.StoreKinds
-import kotlin.time.Duration.Companion.milliseconds
 
 /** Applies the status, usage and prompt messages of other gateways, and relays messages between them. */
 internal class PeerExchange(
-    private val self: VmId,
     private val views: ViewExchange,
     private val peers: PeerSender,
     private val topology: PeerTopology,
     private val liveness: PeerLiveness,
     private val lease: RolloutLease,
-) : RolloutPeers,
-    GatewayPeers {
+) : GatewayPeers {
     /** The holder of the rollout lease as far as this gateway knows. */
     val rolloutHolder: PeerMessage.RolloutHolder? get() = lease.knownHolder
 
-    private class Received(val status: PeerMessage.FleetStatus, val era: StoreEra?)
+    /** The [status] of another gateway, whose revisions are of [era], null if that is not known. */
+    class Received(val status: PeerMessage.FleetStatus, val era: StoreEra?)
 
-    private val statuses = HashMap<VmId, Received>()
-    private val candidacy = RolloutCandidacy(self)
-    private val startedAt = MonotonicTime.now()
+    private val received = HashMap<VmId, Received>()
+
+    /** The last statuses of the other gateways. */
+    val statuses: Map<VmId, Received> get() = received
 
     /** Applies the [status] of [from]; its revisions are of [era], null if that is not known. */
     fun statusReceived(from: VmId, status: PeerMessage.FleetStatus, era: StoreEra?, fleet: FleetState) {
@@ -43,7 +39,7 @@
         if (!topology.acceptsFrom(from)) return
         topology.statusReceived(from, status.isHub, status.vms)
         val now = MonotonicTime.now()
-        statuses[from] = Received(status, era)
+        received[from] = Received(status, era)
         fleet.quota.receiveReport(from, usage(from, status.incarnation, status.usage, status.vms), now)
         status.loads.forEach { (replica, load) ->
             fleet.replicas[ReplicaId(replica)]?.receiveReport(from, ReplicaLoad(load.promptTokens, load.requests), now)
@@ -53,7 +49,7 @@
 
     /** Applies a usage update that [from] published between two statuses. */
     fun usageReceived(from: VmId, message: PeerMessage.UsageTold, fleet: FleetState) {
-        if (from !in statuses || !topology.acceptsFrom(from)) return
+        if (from !in received || !topology.acceptsFrom(from)) return
         fleet.quota.receiveReport(
             from,
             usage(from, message.incarnation, message.usage, message.vms),
@@ -78,30 +74,11 @@
         (recipients - from).forEach { peers.send(it, message) }
     }
 
-    override fun isRolloutCandidate(): Boolean {
-        val now = MonotonicTime.now()
-        val states = statuses.mapValues { (vm, received) -> holderState(vm, received) }
-        val isSettled = topology.plannedLinks.isEmpty() || now - startedAt > SETTLING_TIME
-        val isCandidate = candidacy.isCandidate(lease.knownHolder?.vm, states, isSettled, now)
-        return isCandidate && isStoreAvailable() && !topology.isMember
-    }
-
     override fun broadcast(message: PeerMessage) =
         (topology.equalPeers + topology.members).forEach { peers.send(it, message) }
 
     override fun send(to: VmId, message: PeerMessage) = peers.send(to, message)
 
-    private fun holderState(vm: VmId, received: Received): HolderState {
-        val status = received.status
-        val isAvailable = liveness.isAlive(vm) && status.isHub && status.isServedByStore
-        return HolderState(isAvailable, views.isUpToDate(StoreKinds.WEIGHTS, status.views, received.era))
-    }
-
     /** Whether the store responds to this gateway. */
     fun isStoreAvailable() = views.areAvailable && !lease.isFailing
-
-    private companion object {
-        /** Two intervals of 750 ms, at which a gateway publishes an unchanged status. */
-        val SETTLING_TIME = 1500.milliseconds
-    }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
@@ -3,12 +3,15 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.guavapath.core.fleet.ReplicaId
-import org.guavapath.core.fleet.WeightsNumber
+import org.guavapath.core.fleet.Replica
+import org.guavapath.core.fleet.ServiceName
 import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.VmId
+import org.guavapath.core.placement.ReplicaRecord
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.core.weights.HolderFitness
 import org.guavapath.core.weights.Rollout
+import org.guavapath.core.weights.RolloutProgress
 import org.guavapath.core.weights.RolloutReplica
 import org.guavapath.core.weights.WeightsOrder
 import org.guavapath.daemon.peers.PeerMessage
@@ -20,58 +23,63 @@
     /** Whether this gateway should hold the rollout lease. */
     fun isRolloutCandidate(): Boolean
 
+    /** Invites another gateway to take the lease; returns it, null if there is none. */
+    fun inviteSuccessor(): VmId?
+
     fun broadcast(message: PeerMessage)
 }
 
-/** Brings replicas to the target weights while this gateway holds the rollout lease. */
+/**
+ * Brings replicas to the target weights while this gateway holds the rollout lease.
+ *
+ * It invites another gateway to take the lease if a replica does not respond to this one, or if it is slow itself.
+ */
 internal class RolloutTask(
     private val fleet: FleetState,
     private val lease: RolloutLease,
     private val loader: WeightsLoader,
+    private val messages: RolloutMessages,
     private val peers: RolloutPeers,
     private val telemetry: GatewayTelemetry,
 ) {
     private val rollout = Rollout(fleet.replacedWeights.usableFor)
+    private val fitness = HolderFitness()
+
+    /** Services of which a replica has stated weights of a model. */
+    private val services = HashMap<ModelName, MutableSet<ServiceName>>()
 
     suspend fun run(scope: CoroutineScope) {
+        scope.launch { measureLag() }
+        lease.learnHolder()
         var wasCandidate = false
         while (true) {
             val isCandidate = peers.isRolloutCandidate()
             if (isCandidate != wasCandidate) logCandidate(isCandidate)
             wasCandidate = isCandidate
-            if (isCandidate) fleet.weights.newestOfAll().keys.forEach { step(scope, it) }
+            if (isCandidate) {
+                inviteIfUnfit()
+                fleet.weights.newestOfAll().keys.forEach { step(scope, it) }
+            }
             delay(if (isCandidate) TICK else IDLE_TICK)
         }
     }
 
-    /** Applies a message of the gateway that holds the lease. */
-    fun received(from: VmId, message: PeerMessage.OfRollout) = when (message) {
-        is PeerMessage.ReplicaLoading -> loading(message)
-        is PeerMessage.ReplicaLoaded -> loaded(message, from)
-    }
-
-    /** Records that a replica is loading weights, ordered by this gateway or another. */
-    private fun loading(message: PeerMessage.ReplicaLoading) {
-        val record = fleet.replicas[ReplicaId(message.replica)] ?: return
-        record.loadingUntil = MonotonicTime.now() + message.milliseconds.milliseconds
+    private suspend fun measureLag() {
+        while (true) {
+            val pausedAt = MonotonicTime.now()
+            delay(IDLE_TICK)
+            fitness.ticked(MonotonicTime.now() - pausedAt - IDLE_TICK)
+        }
     }
 
-    /** Records that a replica has new weights and an empty cache. */
-    private fun loaded(message: PeerMessage.ReplicaLoaded, from: VmId?) {
-        val record = fleet.replicas[ReplicaId(message.replica)] ?: return
-        val model = ModelName(message.model)
-        val before = record.weights(model)
-        record.loadingUntil = MonotonicTime.ZERO
-        record.recordWeights(model, WeightsNumber(message.number))
-        fleet.directory.forget(record.entry.id)
+    /** Invites another gateway to take the lease if this one does not bring all replicas to their targets. */
+    private fun inviteIfUnfit() {
+        val isBehind = RolloutProgress.of(fleet.weights, fleet.replicas.all, MonotonicTime.now()).behind > 0
+        val complaint = (if (isBehind) fitness.complaint(MonotonicTime.now()) else null) ?: return
         telemetry.log.stateChange(
-            "replica weights told",
-            "replica" to message.replica,
-            "incarnation" to record.entry.startedAt,
-            "from" to from?.text,
-            "weights" to message.number,
-            "before" to before?.number,
-            "listed" to record.entry.weights[model]?.number,
+            "rollout holder unfit",
+            "reason" to complaint.toString(),
+            "invited" to peers.inviteSuccessor()?.text,
         )
     }
 
@@ -84,50 +92,72 @@
 
     private suspend fun step(scope: CoroutineScope, model: ModelName) {
         val now = MonotonicTime.now()
-        val serving = fleet.replicas.all.filter { it.weights(model) != null }.map { it.entry.service }.toSet()
+        val serving = services.getOrPut(model) { HashSet() }
+        serving += fleet.replicas.all.filter { it.weights(model) != null }.map { it.entry.service }
         val replicas = fleet.replicas.all.filter { !it.entry.isDraining && it.entry.service in serving }
-            .map { RolloutReplica(it.entry.id, it.weights(model), it.load(now).requests, it.loadingUntil > now) }
-        val orders = rollout.next(model, fleet.weights, replicas, now)
+        fitness.retain(fleet.replicas.all.map { it.entry.id }.toSet())
+        val orders = rollout.next(model, fleet.weights, replicas.map { state(it, model, now) }, now)
         if (orders.isEmpty()) return
-        val token = lease.confirmedToken()
-        orders.forEach { order ->
-            if (token == null) ended(order, LoadOutcome.FAILED) else scope.launch { execute(order, token) }
+        if (lease.confirmedToken(fleet.weights.newestOfAll()) == null) {
+            orders.forEach { rollout.notSent(it.replica) }
+        } else {
+            orders.forEach { order -> scope.launch { execute(order) } }
         }
     }
 
-    private suspend fun execute(order: WeightsOrder, token: Long) {
-        val replica = fleet.replicas[order.replica]?.entry
-        var isAnnounced = false
-        val outcome = if (replica == null) {
-            LoadOutcome.FAILED
-        } else {
-            loader.load(order, replica, token) {
+    private fun state(record: ReplicaRecord, model: ModelName, now: MonotonicTime) = RolloutReplica(
+        record.entry.id,
+        record.weights(model),
+        record.load(now).requests,
+        record.loadingUntil > now,
+    )
+
+    private suspend fun execute(order: WeightsOrder) {
+        var outcome = LoadOutcome.FAILED
+        try {
+            val replica = fleet.replicas[order.replica]?.entry ?: return
+            var isAnnounced = false
+            outcome = loader.load(order, replica, fleet.weights.newestOfAll()) {
                 isAnnounced = true
                 announce(order, WeightsLoader.LOADING_PERIOD)
             }
+            // A replica that does not load takes requests again.
+            if (isAnnounced && outcome != LoadOutcome.DONE) announce(order, Duration.ZERO)
+            if (outcome.hasWeights) tellLoaded(order, replica)
+        } finally {
+            ended(order, outcome)
         }
-        // A replica that does not load takes requests again.
-        if (isAnnounced && outcome != LoadOutcome.DONE) announce(order, Duration.ZERO)
-        ended(order, outcome)
     }
 
     private fun announce(order: WeightsOrder, duration: Duration) {
         val message = PeerMessage.ReplicaLoading(order.replica.text, duration.inWholeMilliseconds)
-        loading(message)
+        messages.received(from = null, message)
+        peers.broadcast(message)
+    }
+
+    private fun tellLoaded(order: WeightsOrder, replica: Replica) {
+        val loaded = PeerMessage.ReplicaLoaded(order.replica.text, order.model.text, order.target.number)
+        val message = PeerMessage.IncarnationLoaded(replica.startedAt, loaded)
+        messages.received(from = null, message)
         peers.broadcast(message)
     }
 
     private fun ended(order: WeightsOrder, outcome: LoadOutcome) {
-        rollout.ended(order.replica, outcome == LoadOutcome.DONE, MonotonicTime.now())
+        val now = MonotonicTime.now()
         telemetry.metrics.weightsOrdered(outcome)
         when (outcome) {
-            LoadOutcome.DONE -> {
-                val message = PeerMessage.ReplicaLoaded(order.replica.text, order.model.text, order.target.number)
-                loaded(message, from = null)
-                peers.broadcast(message)
+            LoadOutcome.DONE -> rollout.ended(order.replica, isDone = true, now)
+            LoadOutcome.CONFIRMED -> rollout.notSent(order.replica)
+            LoadOutcome.FAILED, LoadOutcome.WITHOUT_EFFECT -> rollout.ended(order.replica, isDone = false, now)
+            LoadOutcome.FENCED -> {
+                rollout.ended(order.replica, isDone = false, now)
+                lease.fenced()
             }
-            LoadOutcome.FENCED -> lease.fenced()
-            LoadOutcome.FAILED -> Unit
+        }
+        when (outcome) {
+            LoadOutcome.DONE, LoadOutcome.CONFIRMED -> fitness.succeeded(order.replica)
+            LoadOutcome.WITHOUT_EFFECT -> fitness.failed(order.replica, now)
+            LoadOutcome.FAILED, LoadOutcome.FENCED -> Unit
         }
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
@@ -1,5 +1,6 @@
 package org.guavapath.daemon.gateway
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
@@ -8,6 +9,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.guavapath.core.fleet.Replica
+import org.guavapath.core.fleet.WeightsNumber
+import org.guavapath.core.identity.ModelName
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.core.weights.WeightsOrder
 import org.guavapath.platform.wire.OrderReply
@@ -19,59 +22,86 @@
 
 /** The outcome of an order to a replica. */
 internal enum class LoadOutcome {
-    /** The replica has the weights. */
+    /** The replica has loaded the weights. */
     DONE,
 
-    /** The replica does not have them; the order may be retried. */
+    /** The replica has the weights already, so that no order was sent. */
+    CONFIRMED,
+
+    /** The replica does not have them, and may load them; the order may be retried. */
     FAILED,
 
+    /** The replica does not respond to this gateway, or this gateway's order had no effect. */
+    WITHOUT_EFFECT,
+
     /** The replica has accepted an order with a higher fencing token. */
     FENCED,
+    ;
+
+    /** Whether the replica has the weights. */
+    val hasWeights: Boolean get() = this == DONE || this == CONFIRMED
 }
 
-/** Orders a replica to load weights and waits for the load to end. */
+/**
+ * Orders a replica to load weights and waits for the load to end.
+ *
+ * An order without a response may be carried out seconds later. Where replicas check fencing tokens, each target has a
+ * token of its own, so that a late order for an earlier target is rejected and any of several for the same target will
+ * do. Elsewhere an order is valid only for the number of orders that the replica has accepted.
+ *
+ * @param areOrdersFenced whether replicas reject orders with a lower fencing token than they have seen
+ */
 internal class WeightsLoader(
     private val holder: String,
     private val lease: RolloutLease,
     private val client: ReplicaControlClient,
+    private val areOrdersFenced: Boolean,
     private val log: GatewayLog,
 ) {
     /**
-     * Sends [order] to [replica] with [fencingToken].
+     * Sends [order] to [replica], with a token that is confirmed right before, unless it has the weights already.
      *
+     * @param targets the newest target weights of all models
      * @param onLoading called right before, and again while the replica loads, at least once in [LOADING_PERIOD]
      */
-    suspend fun load(order: WeightsOrder, replica: Replica, fencingToken: Long, onLoading: () -> Unit): LoadOutcome {
+    suspend fun load(
+        order: WeightsOrder,
+        replica: Replica,
+        targets: Map<ModelName, WeightsNumber>,
+        onLoading: () -> Unit,
+    ): LoadOutcome {
         val askedAt = MonotonicTime.now()
         val before = report(replica)
-        val reason = reasonNotToOrder(before)
+        val isLoaded = before != null && !before.isLoading && hasTarget(before, order)
+        val isNeeded = before != null && !before.isLoading && !isLoaded
+        // Confirmed after the report, which may take as long as a confirmation is valid.
+        val token = if (isNeeded) lease.confirmedToken(targets, mayTake = false) else null
         return when {
-            before != null && hasTarget(before, order) -> LoadOutcome.DONE
-            before == null || reason != null -> {
+            isLoaded -> LoadOutcome.CONFIRMED
+            before == null || token == null -> {
                 log.stateChange(
                     "weights not ordered",
                     "replica" to replica.id.text,
                     "incarnation" to replica.startedAt,
                     "weights" to order.target.number,
-                    "reason" to reason,
+                    "reason" to reasonNotToOrder(before),
                     "reportMs" to (MonotonicTime.now() - askedAt).inWholeMilliseconds,
                     "confirmationAgeMs" to lease.confirmationAge?.inWholeMilliseconds,
                 )
-                LoadOutcome.FAILED
+                if (before == null) LoadOutcome.WITHOUT_EFFECT else LoadOutcome.FAILED
             }
             else -> {
                 onLoading()
-                val reply = sendOrder(order, replica, fencingToken, before.acceptedOrders)
+                val reply = sendOrder(order, replica, token, before.acceptedOrders)
                 awaitOutcome(reply, order, replica, onLoading)
             }
         }
     }
 
-    private fun reasonNotToOrder(before: ReplicaReport?): String? = when {
+    private fun reasonNotToOrder(before: ReplicaReport?): String = when {
         before == null -> "no report"
         before.isLoading -> "another order is in progress"
-        !lease.isConfirmed() -> "the lease confirmation has expired"
-        else -> null
+        else -> "the lease is not confirmed"
     }
 
     private suspend fun awaitOutcome(
@@ -84,7 +114,8 @@
         OrderReply.ACCEPTED -> awaitTarget(order, replica, MAX_LOAD_TIME, onLoading)
         null -> awaitTarget(order, replica, LOADING_PERIOD, onLoading)
         OrderReply.FENCED -> LoadOutcome.FENCED
-        OrderReply.BUSY, OrderReply.REFUSED -> LoadOutcome.FAILED
+        OrderReply.BUSY -> LoadOutcome.FAILED
+        OrderReply.REFUSED -> LoadOutcome.WITHOUT_EFFECT
     }
 
     private suspend fun sendOrder(
@@ -93,7 +124,7 @@
         token: Long,
         acceptedOrders: Long,
     ): OrderReply? {
-        val body = ReplicaCodec.orderBody(order, holder, token, acceptedOrders)
+        val body = ReplicaCodec.orderBody(order, holder, token, acceptedOrders.takeUnless { areOrdersFenced })
         val result = client.order(replica, body, ORDER_TIMEOUT)
         val response = result.get()
         val reply = response?.let { ReplicaCodec.orderReply(it.status) }
@@ -102,6 +133,7 @@
             "replica" to replica.id.text,
             "incarnation" to replica.startedAt,
             "weights" to order.target.number,
+            "loads" to order.time.toString(),
             "token" to token,
             "acceptedOrders" to acceptedOrders,
             "reply" to (reply?.name ?: "none"),
@@ -141,6 +173,15 @@
             }
             isLoaded
         }
+        return loadEnded(isDone, order, replica, orderedAt)
+    }
+
+    private fun loadEnded(
+        isDone: Boolean?,
+        order: WeightsOrder,
+        replica: Replica,
+        orderedAt: MonotonicTime,
+    ): LoadOutcome {
         log.stateChange(
             if (isDone == true) "weights loaded" else "weights not loaded",
             "replica" to replica.id.text,
@@ -148,12 +189,17 @@
             "afterMs" to (MonotonicTime.now() - orderedAt).inWholeMilliseconds,
             "reason" to if (isDone == null) "the load takes too long" else null,
         )
-        return if (isDone == true) LoadOutcome.DONE else LoadOutcome.FAILED
+        return when (isDone) {
+            true -> LoadOutcome.DONE
+            // Loads without a report in progress did not begin, or were cut off.
+            false -> LoadOutcome.WITHOUT_EFFECT
+            null -> LoadOutcome.FAILED
+        }
     }
 
     private suspend fun report(replica: Replica): ReplicaReport? {
         val report = client.report(replica, REPORT_TIMEOUT).mapError { it.toString() }
-            .andThen { ReplicaCodec.report(it.body) }
+            .andThen { if (it.status == OK) ReplicaCodec.report(it.body) else Err("status ${it.status}") }
         return report.getOrElse {
             log.stateChange("no report", "replica" to replica.id.text, "error" to it)
             null
@@ -164,6 +210,7 @@
         report.weights[order.model]?.let { it >= order.target } ?: false
 
     companion object {
+        private const val OK = 200
         private val REPORT_TIMEOUT = 500.milliseconds
 
         /** Replicas respond within milliseconds; an order without a response is retried if no load follows. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -18,7 +18,7 @@
 internal const val PROTOCOL_VERSION = 2
 
 /** Highest version that this build understands; a peer receives no message of a version later than its own. */
-internal const val HIGHEST_PROTOCOL_VERSION = 4
+internal const val HIGHEST_PROTOCOL_VERSION = 5
 
 /** The version that introduced rates of replicas and eras of the store. */
 private const val VERSION_OF_RATES_AND_ERAS = 3
@@ -26,6 +26,9 @@
 /** The version that introduced ages of target weights and suspects of all kinds. */
 private const val VERSION_OF_SUSPECTS_AND_AGES = 4
 
+/** The version that introduced incarnations of loads and invitations to take the rollout lease. */
+private const val VERSION_OF_INVITATIONS = 5
+
 /** A message between two daemons. */
 @Serializable
 internal sealed class PeerMessage {
@@ -337,6 +340,26 @@
     /** The replica has weights [number] of [model] now. */
     @Serializable
     data class ReplicaLoaded(val replica: String, val model: String, val number: Long) : OfRollout()
+
+    /**
+     * An incarnation of a replica has loaded weights.
+     *
+     * Daemons of versions before receive [loaded] alone.
+     *
+     * @property incarnation start of the incarnation in Unix milliseconds, 0 if not listed
+     */
+    @Serializable
+    data class IncarnationLoaded(val incarnation: Long, val loaded: ReplicaLoaded) : OfRollout() {
+        override val sinceVersion: Int get() = VERSION_OF_INVITATIONS
+
+        override fun forVersion(version: Int): PeerMessage? = super.forVersion(version) ?: loaded.forVersion(version)
+    }
+
+    /** The sender holds the rollout lease, but does not get its orders through; the receiver should take the lease. */
+    @Serializable
+    data object RolloutInvitation : OfFleet() {
+        override val sinceVersion: Int get() = VERSION_OF_INVITATIONS
+    }
 }
 
 /** Sends messages to other daemons; a message to a daemon that cannot be reached is dropped. */
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/RolloutLeaseTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/RolloutLeaseTest.kt
@@ -18,7 +18,7 @@
     private fun lease(vm: String, incarnation: Long = 1) = RolloutLease(
         VmId(vm),
         Incarnation(incarnation),
-        EraTrackingStore(CountingStore(store), log),
+        StoredRolloutLease(EraTrackingStore(CountingStore(store), log), log),
         isFirstStart = false,
         log,
     )
@@ -83,7 +83,10 @@
         val token = assertNotNull(restarted.confirmedToken(), "usable a second after the start")
         assertTrue(token > first, "$token after $first")
         assertNotNull(third.confirmedToken(), "usable at once, a second after the start")
-        assertEquals(null, lease("vm-2").confirmedToken(), "another gateway waits")
+        val other = lease("vm-2")
+        assertEquals(null, other.confirmedToken(), "another gateway leaves the holder the lease for a while")
+        delay(TURN)
+        assertEquals(null, other.confirmedToken(), "another gateway waits")
         delay(CONFIRMATION_VALIDITY)
         assertEquals(null, third.confirmedToken(), "the last holder was another gateway")
     }
@@ -92,5 +95,8 @@
         /** Longer than a confirmation is valid. */
         val CONFIRMATION_VALIDITY = 800.milliseconds
         val HANDOVER_DELAY = 1000.milliseconds
+
+        /** Longer than a holder that was only found in the store is left the lease. */
+        val TURN = 1800.milliseconds
     }
 }
