What is believed about a replica's weights is checked against what the replica states

Cause: the highest weights ever told of a replica were believed for good. A message about a load names no incarnation, a report counts although a load is in progress, and a late order may bring older weights back: the gateway, and all that it told, never ordered the replica again.

Fix: what a replica states counts, newer or older. What another VM tells counts for the incarnation that it names, until the replica's list entry confirms it; after three seconds without that the replica is asked again. A rejected request no longer counts as a load.

StuckReplicasTest#aLateOrderForOlderWeightsIsFollowedByAnother: its replicas check no fencing tokens, as the late order is rejected otherwise.

--- a/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -138,7 +138,7 @@
     ): PlacementResult.Chosen? {
         val open = current.filter { it.entry.id !in request.closed }
         val scorer = Scorer(request, current.map { it.entry.id }.toSet(), now)
-        val idle = open.filter { it.loadingUntil <= now }
+        val idle = open.filter { maxOf(it.loadingUntil, it.avoidedUntil) <= now }
         return sequenceOf(idle.filter { !it.health.isAvoided(now) }, idle, open).firstNotNullOfOrNull { candidates ->
             candidates.mapNotNull { scorer.scoreIfInTime(it) }
                 .minWithOrNull(compareBy<ScoredReplica> { it.cost }.thenBy { it.record.entry.id })
--- a/core/src/main/kotlin/org/guavapath/core/placement/ReplicaRegistry.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/ReplicaRegistry.kt
@@ -34,13 +34,15 @@
     private class Assumption(val number: WeightsNumber, val until: MonotonicTime)
 
     private val peerReports = HashMap<VmId, PeerReport>()
-    private val observedWeights = HashMap<ModelName, WeightsNumber>()
     private val assumedWeights = HashMap<ModelName, Assumption>()
 
     /** The latest listed entry. */
     public var entry: Replica = entry
         private set
 
+    /** What is known of the weights that it has loaded. */
+    public val modelWeights: ReplicaWeights = ReplicaWeights(entry.weights)
+
     /** Health as observed by this VM's own requests. */
     public val health: ReplicaHealth = ReplicaHealth()
 
@@ -51,20 +53,17 @@
     /** End of the replica's current weights load, as announced by the VM that ordered it. */
     public var loadingUntil: MonotonicTime = MonotonicTime.ZERO
 
-    /** Replaces the entry with [newer] of the same incarnation; weights that it changes replace observed ones. */
+    /** Until when the replica should receive no requests, as it has rejected some. */
+    public var avoidedUntil: MonotonicTime = MonotonicTime.ZERO
+
+    /** Replaces the entry with [newer] of the same incarnation; weights that it changes replace those known before. */
     public fun update(newer: Replica) {
-        newer.weights.forEach { (model, number) ->
-            if (entry.weights[model] != number) observedWeights.remove(model)
-        }
+        modelWeights.update(newer.weights)
         entry = newer
     }
 
-    /** Returns the weights that the replica serves [model] with, the newer of listed and observed; null if unknown. */
-    public fun weights(model: ModelName): WeightsNumber? {
-        val listed = entry.weights[model]
-        val seen = observedWeights[model]
-        return if (listed == null || seen == null) seen ?: listed else maxOf(listed, seen)
-    }
+    /** Returns the weights that the replica serves [model] with, null if unknown. */
+    public fun weights(model: ModelName): WeightsNumber? = modelWeights.number(model)
 
     /** Returns the weights that a request should expect, which may be assumed at [now]; null if unknown. */
     public fun expectedWeights(model: ModelName, now: MonotonicTime): WeightsNumber? {
@@ -80,11 +79,6 @@
         assumedWeights[model] = Assumption(number, until)
     }
 
-    /** Records weights reported by a response or by the VM that ordered them; older ones are ignored. */
-    public fun recordWeights(model: ModelName, number: WeightsNumber) {
-        if (weights(model).let { it == null || it < number }) observedWeights[model] = number
-    }
-
     /** Records that a request with [promptTokens] tokens to prefill was sent. */
     public fun requestSent(promptTokens: Long) {
         ownLoad += ReplicaLoad(promptTokens, 1)
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetGateway.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetGateway.kt
@@ -26,6 +26,9 @@
 
     data object AgesWanted : FleetMessage()
 
+    /** The sender holds the lease, but does not reach all replicas. */
+    data object Invitation : FleetMessage()
+
     data class Ages(val namings: Map<ModelName, List<TargetNaming>>) : FleetMessage()
 }
 
@@ -60,6 +63,7 @@
         lease,
         context.calls,
         process,
+        areOrdersFenced = true,
         { replica, report -> decisions.reported(replica, report, now) },
         { order, text -> context.trace("${order.replica} weights ${order.target}: $text") },
     )
@@ -86,6 +90,7 @@
         views.forEach { process.launch(it::follow) }
         process.launch(::publish)
         process.launch(::roll)
+        process.launch(::measureLag)
         process.launch {
             process.delay(LINK_TIME)
             broadcast(FleetMessage.Targets(targets.namings(), isGreeting = true))
@@ -106,6 +111,7 @@
             }
             is FleetMessage.ViewContent -> views.first { it.kind == message.kind }.adopt(message.listing)
             is FleetMessage.Targets -> targetsReceived(from, message)
+            is FleetMessage.Invitation -> decisions.invited(now)
             is FleetMessage.AgesWanted -> context.peers.send(from, FleetMessage.Ages(targets.namings()))
             is FleetMessage.Ages -> agesReceived(message.namings)
         }
@@ -145,27 +151,39 @@
     }
 
     private suspend fun roll() {
+        lease.learnHolder()
         while (true) {
             val isCandidate = isCandidate()
             if (isCandidate) {
                 decisions.replicasToAsk(
                     now
                 ).forEach { process.launch { loader.report(it, FleetLoader.REPORT_TIMEOUT) } }
+                val invited = decisions.successor(targets, holderStates(), now)
+                if (invited != null) context.peers.send(invited, FleetMessage.Invitation)
                 targets.newestOfAll().keys.forEach { step(it) }
             }
             process.delay(if (isCandidate) TICK else IDLE_TICK)
         }
     }
 
+    private suspend fun measureLag() {
+        while (true) {
+            val pausedAt = now
+            process.delay(IDLE_TICK)
+            decisions.ticked(now - pausedAt - IDLE_TICK)
+        }
+    }
+
     private fun isStoreAvailable() = views.all { it.isAvailable } && !lease.isFailing
 
     private fun isCandidate(): Boolean {
-        val states = statuses.mapValues { (other, status) ->
-            val isUpToDate = status.changes.getValue(FleetKind.WEIGHTS) >= weightsView.newestChange
-            HolderState(isAlive(other) && status.isServedByStore, isUpToDate)
-        }
-        val isSettled = context.peers.others.isEmpty() || now - startedAt > SETTLING_TIME
-        return decisions.isCandidate(holder, states, isSettled, now) && isStoreAvailable()
+        val isAlone = context.peers.others.isEmpty()
+        return decisions.isCandidate(holder, holderStates(), isAlone, now) && isStoreAvailable()
+    }
+
+    private fun holderStates() = statuses.mapValues { (other, status) ->
+        val isUpToDate = status.changes.getValue(FleetKind.WEIGHTS) >= weightsView.newestChange
+        HolderState(isAlive(other) && status.isServedByStore, isUpToDate)
     }
 
     private fun isAlive(other: VmId) = now - (receivedAt[other] ?: startedAt) < ALIVE_TIMEOUT
@@ -173,19 +191,19 @@
     private suspend fun step(model: ModelName) {
         val orders = decisions.orders(targets, model, now)
         if (orders.isEmpty()) return
-        val token = lease.confirmedToken()
+        val token = lease.confirmedToken(targets.newestOfAll(), mayTake = true)
         orders.forEach { order ->
-            if (token == null) ended(order, FleetOutcome.FAILED) else process.launch { execute(order, token) }
+            if (token == null) decisions.notSent(order) else process.launch { execute(order) }
         }
     }
 
-    private suspend fun execute(order: WeightsOrder, token: FencingToken) {
+    private suspend fun execute(order: WeightsOrder) {
         val replica = decisions.entry(order.replica)
         var isAnnounced = false
         val outcome = if (replica == null) {
             FleetOutcome.FAILED
         } else {
-            loader.load(order, replica, token) {
+            loader.load(order, replica, targets.newestOfAll()) {
                 isAnnounced = true
                 announce(order, FleetLoader.LOADING_PERIOD)
             }
@@ -197,12 +215,16 @@
     private fun announce(order: WeightsOrder, duration: Duration) =
         share(RolloutMessage.Loading(order.replica, duration))
 
-    private fun ended(order: WeightsOrder, outcome: FleetOutcome, startedAt: Long = 0) {
+    private fun ended(order: WeightsOrder, outcome: FleetOutcome, startedAt: Long) {
         decisions.ended(order, outcome, now)
         when (outcome) {
-            FleetOutcome.DONE -> share(RolloutMessage.Loaded(order.replica, startedAt, order.model, order.target))
+            FleetOutcome.DONE, FleetOutcome.CONFIRMED -> {
+                val message = RolloutMessage.Loaded(order.replica, startedAt, order.model, order.target, isOwn = true)
+                decisions.received(message, now)
+                broadcast(FleetMessage.OfRollout(message.copy(isOwn = false)))
+            }
             FleetOutcome.FENCED -> lease.fenced()
-            FleetOutcome.FAILED -> Unit
+            FleetOutcome.FAILED, FleetOutcome.WITHOUT_EFFECT -> Unit
         }
     }
 
@@ -218,7 +240,6 @@
         val IDLE_TICK = 250.milliseconds
         val STATUS_INTERVAL = 250.milliseconds
         val LINK_TIME = 200.milliseconds
-        val SETTLING_TIME = 1500.milliseconds
         val ALIVE_TIMEOUT = 1500.milliseconds
         val UNCERTAINTY = 50.milliseconds
     }
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetLease.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetLease.kt
@@ -1,5 +1,7 @@
 package org.guavapath.core.weights
 
+import org.guavapath.core.fleet.WeightsNumber
+import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.store.Revision
 import org.guavapath.core.store.StoreEra
@@ -23,6 +25,8 @@
     private var confirmedAt: MonotonicTime? = null
     private var failedAt: MonotonicTime? = null
     private var usableFrom = MonotonicTime.ZERO
+    private var mayTakeFrom = MonotonicTime.ZERO
+    private var tokenTargets = emptyMap<ModelName, WeightsNumber>()
     private val now: MonotonicTime get() = process.clock.now
 
     /** Called when the store has returned from an older copy. */
@@ -47,15 +51,25 @@
         if (holder != null && (present == null || holder.token > present.token)) {
             knownHolder = holder
             confirmedAt = null
+            mayTakeFrom = MonotonicTime.ZERO
         }
     }
 
+    /** Reads who holds the lease. */
+    suspend fun learnHolder() {
+        val stored = call<StoredLease?>(now + CALL_TIMEOUT) { answer -> store.readLease(self, answer) } ?: return
+        stored.value?.takeIf { isNews(it, stored.era) }?.let { holderReceived(FleetHolder(it.vm, it.token)) }
+    }
+
+    private fun isNews(lease: StoredLease, era: StoreEra) =
+        lease.token.era >= era && lease.token > (knownHolder?.token ?: FencingToken.NONE)
+
     /** Confirms or takes over the lease if necessary; returns the fencing token, null if it cannot be used now. */
-    suspend fun confirmedToken(): FencingToken? {
-        if (!isConfirmed) {
-            confirm(now + CONFIRMATION_TIMEOUT)
-            if (!isConfirmed && !isFailing) onEvent("cannot confirm the lease")
-            failedAt = if (isConfirmed) null else now
+    suspend fun confirmedToken(targets: Map<ModelName, WeightsNumber>, mayTake: Boolean): FencingToken? {
+        if (!isConfirmed || !isTokenOf(targets)) {
+            val hasAnswer = confirm(targets, mayTake)
+            if (!hasAnswer && !isFailing) onEvent("cannot confirm the lease")
+            failedAt = if (hasAnswer) null else now
         }
         val isUsable = isConfirmed && now >= usableFrom
         return knownHolder?.takeIf { it.vm == self && isUsable }?.token
@@ -66,31 +80,60 @@
         knownHolder = null
     }
 
-    private suspend fun confirm(end: MonotonicTime) {
+    private fun isTokenOf(targets: Map<ModelName, WeightsNumber>) =
+        targets.all { (model, number) -> tokenTargets[model].let { it != null && it >= number } }
+
+    /** Returns whether the store has answered. */
+    private suspend fun confirm(targets: Map<ModelName, WeightsNumber>, mayTake: Boolean): Boolean {
         val calledAt = now
-        val stored = call<StoredLease?>(end) { answer -> store.readLease(self, answer) } ?: return
-        val lease = stored.value
-        if (lease != null && isOfThisProcess(lease) && lease.token.era >= stored.era) {
-            knownHolder = FleetHolder(self, lease.token)
-            confirmedAt = calledAt
-        } else {
-            takeOver(lease, calledAt, end)
+        val formerHolder = knownHolder
+        val stored = call<StoredLease?>(calledAt + CALL_LIMIT) { answer -> store.readLease(self, answer) }
+        val lease = stored?.value
+        return when {
+            stored == null -> false
+            lease != null && isOfThisProcess(lease) && lease.token.era >= stored.era -> held(lease, calledAt, targets)
+            lease != null && lease.vm != self && isNews(lease, stored.era) -> {
+                holderReceived(FleetHolder(lease.vm, lease.token))
+                mayTakeFrom = calledAt + TURN
+                true
+            }
+            mayTake && knownHolder == formerHolder && calledAt >= mayTakeFrom -> takeOver(lease, targets)
+            else -> true
         }
     }
 
     private fun isOfThisProcess(lease: StoredLease) = lease.vm == self && lease.incarnation == incarnation
 
-    private suspend fun takeOver(former: StoredLease?, calledAt: MonotonicTime, end: MonotonicTime) {
+    /** Records that this process holds the lease; returns whether the store has answered. */
+    private suspend fun held(
+        lease: StoredLease,
+        calledAt: MonotonicTime,
+        targets: Map<ModelName, WeightsNumber>,
+    ): Boolean {
+        val holder = FleetHolder(self, lease.token)
+        if (knownHolder != holder) usableFrom = calledAt + HANDOVER_DELAY
+        knownHolder = holder
+        if (!isTokenOf(targets)) return takeOver(lease, targets)
+        confirmedAt = calledAt
+        return true
+    }
+
+    /** Returns whether the store has answered. */
+    private suspend fun takeOver(former: StoredLease?, targets: Map<ModelName, WeightsNumber>): Boolean {
+        val calledAt = now
         val highest = maxOf(former?.token ?: FencingToken.NONE, knownHolder?.token ?: FencingToken.NONE)
         val next = StoredLease(self, incarnation, highest.next(era), former?.revision ?: Revision.NONE)
-        val written = call<StoredLease?>(end) { store.writeLease(self, next, former?.revision, it) }
-        if (written?.value == null) return
+        val written = call<StoredLease?>(calledAt + CALL_LIMIT) { store.writeLease(self, next, former?.revision, it) }
+        if (written?.value == null) return written != null
         knownHolder = FleetHolder(self, next.token)
         confirmedAt = calledAt.takeIf { next.token.era >= written.era }
         val isOfFormerProcess = former?.vm == self && former.incarnation != incarnation &&
             former.token == highest && highest.era >= written.era
-        usableFrom = (if (isOfFormerProcess) startedAt else calledAt) + HANDOVER_DELAY
+        val isRenewal = former != null && isOfThisProcess(former) && former.token.era >= written.era
+        if (!isRenewal) usableFrom = (if (isOfFormerProcess) startedAt else calledAt) + HANDOVER_DELAY
+        tokenTargets = targets
         onEvent("takes the lease with token ${next.token} from ${former?.vm}")
+        return true
     }
 
     private suspend fun <T> call(
@@ -106,9 +149,10 @@
 
     private companion object {
         val CONFIRMATION_VALIDITY = 700.milliseconds
-        val CONFIRMATION_TIMEOUT = 600.milliseconds
+        val CALL_LIMIT = 600.milliseconds
         val FAILURE_PERIOD = 3.seconds
         val HANDOVER_DELAY = 1.seconds
+        val TURN = 1700.milliseconds
         val CALL_TIMEOUT = 2.seconds
     }
 }
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetLoader.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetLoader.kt
@@ -1,6 +1,8 @@
 package org.guavapath.core.weights
 
 import org.guavapath.core.fleet.Replica
+import org.guavapath.core.fleet.WeightsNumber
+import org.guavapath.core.identity.ModelName
 import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -20,6 +22,7 @@
     private val lease: FleetLease,
     private val calls: FleetReplicaCalls,
     private val process: FleetProcess,
+    private val areOrdersFenced: Boolean,
     private val onReport: (Replica, FleetReport) -> Unit,
     private val onEvent: (WeightsOrder, String) -> Unit,
 ) {
@@ -28,20 +31,22 @@
     suspend fun load(
         order: WeightsOrder,
         replica: Replica,
-        token: FencingToken,
+        targets: Map<ModelName, WeightsNumber>,
         onLoading: () -> Unit,
     ): FleetOutcome {
         val before = report(replica, REPORT_TIMEOUT)
-        val reason = reasonNotToOrder(before)
+        val isLoaded = before != null && !before.isLoading && hasTarget(before, order)
+        val isNeeded = before != null && !before.isLoading && !isLoaded
+        val token = if (isNeeded) lease.confirmedToken(targets, mayTake = false) else null
         return when {
-            before != null && hasTarget(before, order) -> FleetOutcome.DONE
-            before == null || reason != null -> {
-                onEvent(order, "is not ordered: $reason")
-                FleetOutcome.FAILED
+            isLoaded -> FleetOutcome.CONFIRMED
+            before == null || token == null -> {
+                onEvent(order, "is not ordered: ${reasonNotToOrder(before)}")
+                if (before == null) FleetOutcome.WITHOUT_EFFECT else FleetOutcome.FAILED
             }
             else -> {
                 onLoading()
-                val sent = FleetOrder(order, token.number, before.acceptedOrders)
+                val sent = FleetOrder(order, token.number, before.acceptedOrders.takeUnless { areOrdersFenced })
                 val reply = process.call(ORDER_TIMEOUT) { answer -> calls.order(replica, sent, answer) }
                 awaitOutcome(reply, order, replica, onLoading).also { onEvent(order, "order answered $reply ends $it") }
             }
@@ -52,11 +57,10 @@
     suspend fun report(replica: Replica, timeout: Duration): FleetReport? =
         process.call(timeout) { answer -> calls.report(replica, answer) }?.also { onReport(replica, it) }
 
-    private fun reasonNotToOrder(before: FleetReport?): String? = when {
+    private fun reasonNotToOrder(before: FleetReport?): String = when {
         before == null -> "no report"
         before.isLoading -> "another order is in progress"
-        !lease.isConfirmed -> "the lease confirmation has expired"
-        else -> null
+        else -> "the lease is not confirmed"
     }
 
     private suspend fun awaitOutcome(
@@ -69,7 +73,8 @@
         OrderAnswer.ACCEPTED -> awaitTarget(order, replica, MAX_LOAD_TIME, onLoading)
         null -> awaitTarget(order, replica, LOADING_PERIOD, onLoading)
         OrderAnswer.FENCED -> FleetOutcome.FENCED
-        OrderAnswer.BUSY, OrderAnswer.REFUSED -> FleetOutcome.FAILED
+        OrderAnswer.BUSY -> FleetOutcome.FAILED
+        OrderAnswer.REFUSED -> FleetOutcome.WITHOUT_EFFECT
     }
 
     private suspend fun awaitTarget(
@@ -98,7 +103,13 @@
                 onLoading()
             }
         }
-        return if (isLoaded) FleetOutcome.DONE else FleetOutcome.FAILED
+        return outcome(isLoaded, isGivenUp)
+    }
+
+    private fun outcome(isLoaded: Boolean, isGivenUp: Boolean) = when {
+        isLoaded -> FleetOutcome.DONE
+        isGivenUp -> FleetOutcome.WITHOUT_EFFECT
+        else -> FleetOutcome.FAILED
     }
 
     private fun hasTarget(report: FleetReport, order: WeightsOrder) =
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetReplica.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetReplica.kt
@@ -17,8 +17,8 @@
     val acceptedOrders: Long,
 )
 
-/** An order as sent, with the number of accepted orders that it expects. */
-internal data class FleetOrder(val order: WeightsOrder, val token: Long, val expected: Long)
+/** An order as sent; the number of accepted orders that it expects, null for any. */
+internal data class FleetOrder(val order: WeightsOrder, val token: Long, val expected: Long?)
 
 /** Answers of a replica to an order. */
 internal enum class OrderAnswer { ACCEPTED, DONE, BUSY, FENCED, REFUSED }
@@ -96,7 +96,7 @@
     private fun answer(order: FleetOrder): OrderAnswer = when {
         order.token < fence -> OrderAnswer.FENCED
         load == null && weights[order.order.model] == order.order.target -> OrderAnswer.DONE
-        load != null || order.expected != acceptedOrders -> OrderAnswer.BUSY
+        load != null || order.expected != null && order.expected != acceptedOrders -> OrderAnswer.BUSY
         else -> OrderAnswer.ACCEPTED
     }
 
@@ -104,7 +104,10 @@
         acceptedOrders += 1
         fence = order.token
         load = order
-        loadsAt = clock.now + requestsEnd()
+        loadsAt = when (order.order.time) {
+            LoadTime.AfterRequests -> clock.now + requestsEnd()
+            LoadTime.AtOnce -> clock.now
+        }
         record()
         await(incarnation)
     }
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetSimulation.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetSimulation.kt
@@ -27,7 +27,7 @@
  */
 internal class FleetSimulation(
     private val situation: FleetSituation,
-    private val decisionsOf: (VmId) -> RolloutDecisions,
+    private val decisionsOf: (VmId, MonotonicTime) -> RolloutDecisions,
     private val onEvent: (MonotonicTime, String) -> Unit = { _, _ -> },
 ) {
     /** A gateway whose process may be restarted. */
@@ -99,7 +99,7 @@
         slot.process.isEnded = true
         slot.process = FleetProcess(clock)
         slot.starts += 1
-        slot.gateway = FleetGateway(contextOf(slot), decisionsOf(vm)).apply { start() }
+        slot.gateway = FleetGateway(contextOf(slot), decisionsOf(vm, clock.now)).apply { start() }
     }
 
     private fun contextOf(slot: Slot) = object : FleetGatewayContext {
--- a/core/src/test/kotlin/org/guavapath/core/weights/RolloutDecisions.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/RolloutDecisions.kt
@@ -11,11 +11,12 @@
 import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.placement.ReplicaRegistry
+import org.guavapath.core.placement.WeightsSource
 import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration
 
 /** Outcomes of an order. */
-internal enum class FleetOutcome { DONE, FAILED, FENCED }
+internal enum class FleetOutcome { DONE, CONFIRMED, FAILED, WITHOUT_EFFECT, FENCED }
 
 /** What a gateway announces of a replica. */
 internal sealed class RolloutMessage {
@@ -28,6 +29,7 @@
         val startedAt: Long,
         val model: ModelName,
         val number: WeightsNumber,
+        val isOwn: Boolean,
     ) : RolloutMessage()
 }
 
@@ -54,18 +56,31 @@
     /** Records the outcome of an order. */
     fun ended(order: WeightsOrder, outcome: FleetOutcome, now: MonotonicTime)
 
+    /** Records that [order] was not sent. */
+    fun notSent(order: WeightsOrder)
+
     /** Returns whether this gateway should hold the lease. */
-    fun isCandidate(holder: VmId?, others: Map<VmId, HolderState>, isSettled: Boolean, now: MonotonicTime): Boolean
+    fun isCandidate(holder: VmId?, others: Map<VmId, HolderState>, isAlone: Boolean, now: MonotonicTime): Boolean
+
+    /** Records that periodic work was done [late] after it was due. */
+    fun ticked(late: Duration)
+
+    /** Returns the gateway to invite to hold the lease, as this one does not get its orders through; null if none. */
+    fun successor(targets: TargetWeights, others: Map<VmId, HolderState>, now: MonotonicTime): VmId?
+
+    /** Records that the holder has invited this gateway. */
+    fun invited(now: MonotonicTime)
 
     /** Returns what is believed of [replica], for traces. */
     fun describe(replica: ReplicaId, model: ModelName, now: MonotonicTime): String
 }
 
 /** The decisions of the daemon: `RolloutTask` and `PeerExchange`. */
-internal class DaemonDecisions(self: VmId) : RolloutDecisions {
+internal class DaemonDecisions(self: VmId, startedAt: MonotonicTime) : RolloutDecisions {
     private val replicas = ReplicaRegistry()
     private val rollout = Rollout()
-    private val candidacy = RolloutCandidacy(self)
+    private val candidacy = RolloutCandidacy(self, startedAt)
+    private val fitness = HolderFitness()
 
     override fun listed(entries: List<Replica>, now: MonotonicTime) {
         replicas.update(entries)
@@ -74,13 +89,17 @@
     override fun received(message: RolloutMessage, now: MonotonicTime) {
         when (message) {
             is RolloutMessage.Loading -> replicas[message.replica]?.let { it.loadingUntil = now + message.period }
-            is RolloutMessage.Loaded -> replicas[message.replica]?.let {
-                it.loadingUntil = MonotonicTime.ZERO
-                it.recordWeights(message.model, message.number)
-            }
+            is RolloutMessage.Loaded -> loaded(message, now)
         }
     }
 
+    private fun loaded(message: RolloutMessage.Loaded, now: MonotonicTime) {
+        val record = replicas[message.replica]?.takeIf { it.entry.startedAt == message.startedAt } ?: return
+        record.loadingUntil = MonotonicTime.ZERO
+        val source = if (message.isOwn) WeightsSource.Replica else WeightsSource.OrderedBy(VmId("holder"))
+        record.modelWeights.record(message.model, message.number, source, now)
+    }
+
     override fun reported(replica: Replica, report: FleetReport, now: MonotonicTime) = Unit
 
     override fun replicasToAsk(now: MonotonicTime): List<Replica> = emptyList()
@@ -90,19 +109,44 @@
     override fun orders(targets: TargetWeights, model: ModelName, now: MonotonicTime): List<WeightsOrder> {
         val serving = replicas.all.filter { it.weights(model) != null }.map { it.entry.service }.toSet()
         val states = replicas.all.filter { !it.entry.isDraining && it.entry.service in serving }
-            .map { RolloutReplica(it.entry.id, it.weights(model), it.load(now).requests, it.loadingUntil > now) }
+            .map {
+                val weights = it.modelWeights.confirmed(model, now)
+                RolloutReplica(it.entry.id, weights, it.load(now).requests, it.loadingUntil > now)
+            }
+        fitness.retain(replicas.all.map { it.entry.id }.toSet())
         return rollout.next(model, targets, states, now)
     }
 
-    override fun ended(order: WeightsOrder, outcome: FleetOutcome, now: MonotonicTime) =
-        rollout.ended(order.replica, outcome == FleetOutcome.DONE, now)
+    override fun ended(order: WeightsOrder, outcome: FleetOutcome, now: MonotonicTime) {
+        if (outcome == FleetOutcome.CONFIRMED) {
+            rollout.notSent(order.replica)
+        } else {
+            rollout.ended(order.replica, outcome == FleetOutcome.DONE, now)
+        }
+        when (outcome) {
+            FleetOutcome.DONE, FleetOutcome.CONFIRMED -> fitness.succeeded(order.replica)
+            FleetOutcome.WITHOUT_EFFECT -> fitness.failed(order.replica, now)
+            FleetOutcome.FAILED, FleetOutcome.FENCED -> Unit
+        }
+    }
+
+    override fun notSent(order: WeightsOrder) = rollout.notSent(order.replica)
 
     override fun isCandidate(
         holder: VmId?,
         others: Map<VmId, HolderState>,
-        isSettled: Boolean,
+        isAlone: Boolean,
         now: MonotonicTime,
-    ): Boolean = candidacy.isCandidate(holder, others, isSettled, now)
+    ): Boolean = candidacy.isCandidate(holder, others, isAlone, now)
+
+    override fun ticked(late: Duration) = fitness.ticked(late)
+
+    override fun successor(targets: TargetWeights, others: Map<VmId, HolderState>, now: MonotonicTime): VmId? {
+        val isBehind = RolloutProgress.of(targets, replicas.all, now).behind > 0
+        return if (isBehind && fitness.complaint(now) != null) candidacy.successor(others, now) else null
+    }
+
+    override fun invited(now: MonotonicTime) = candidacy.invited(now)
 
     override fun describe(replica: ReplicaId, model: ModelName, now: MonotonicTime): String {
         val record = replicas[replica] ?: return "not listed"
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -5,6 +5,7 @@
 import org.guavapath.core.fleet.RetryPolicy
 import org.guavapath.core.placement.ReplicaOutcome
 import org.guavapath.core.placement.ScoredReplica
+import org.guavapath.core.placement.WeightsSource
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.platform.wire.ReplicaInstructions
 import org.guavapath.platform.wire.ReplicaResponseHead
@@ -114,7 +115,11 @@
         this.headers = headers.copy()
         context.namedRates.responded(record.entry, head, startedAt)
         val model = admitted.request.prompt?.model
-        if (model != null) head.weights?.let { record.recordWeights(model, it) }
+        if (model != null) {
+            head.weights?.let {
+                context.telemetry.log.recordWeights(record, model, it, WeightsSource.Replica)
+            }
+        }
         if (!head.isRelayed) return
         timer.extend(FIRST_BODY_TIMEOUT)
         onEvent(this, AttemptEvent.HeadReceived(responseHead(head, this.headers)))
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -121,7 +121,7 @@
         val record = attempt.choice.record
         val now = MonotonicTime.now()
         if (head.replica != null && head.replica != record.entry.id) {
-            record.loadingUntil = now + MISDIRECTION_BACKOFF
+            record.avoidedUntil = now + MISDIRECTION_BACKOFF
         } else {
             admitted.request.prompt?.model?.let { recordOtherWeights(attempt, it, now) }
         }
@@ -132,7 +132,7 @@
         val newest = context.fleet.weights.newest(model)
         val record = attempt.choice.record
         if (newest == null || attempt.choice.weights == newest) {
-            record.loadingUntil = maxOf(record.loadingUntil, now + UNKNOWN_WEIGHTS_BACKOFF)
+            record.avoidedUntil = maxOf(record.avoidedUntil, now + UNKNOWN_WEIGHTS_BACKOFF)
         } else {
             record.assumeWeights(model, newest, now + MISDIRECTION_BACKOFF)
         }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutMessages.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutMessages.kt
@@ -5,6 +5,7 @@
 import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.placement.ReplicaRecord
+import org.guavapath.core.placement.WeightsSource
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.peers.PeerMessage
 import kotlin.time.Duration.Companion.milliseconds
@@ -29,14 +30,37 @@
     /** Records that [record] has new weights and an empty cache. */
     private fun loaded(record: ReplicaRecord, from: VmId?, message: PeerMessage.ReplicaLoaded) {
         record.loadingUntil = MonotonicTime.ZERO
-        record.recordWeights(ModelName(message.model), WeightsNumber(message.number))
-        fleet.directory.forget(record.entry.id)
-        log.stateChange(
-            "replica weights told",
-            "replica" to message.replica,
-            "incarnation" to record.entry.startedAt,
-            "from" to from?.text,
-            "weights" to message.number,
+        val source = if (from == null) WeightsSource.Replica else WeightsSource.OrderedBy(from)
+        if (log.recordWeights(record, ModelName(message.model), WeightsNumber(message.number), source)) {
+            fleet.directory.forget(record.entry.id)
+        }
+    }
+}
+
+/** Records weights of [replica] and logs a change of what is known of them; returns whether there was one. */
+internal fun GatewayLog.recordWeights(
+    replica: ReplicaRecord,
+    model: ModelName,
+    number: WeightsNumber,
+    source: WeightsSource,
+): Boolean {
+    val before = replica.modelWeights.known(model)
+    val now = MonotonicTime.now()
+    val isChanged = replica.modelWeights.record(model, number, source, now)
+    if (isChanged) {
+        stateChange(
+            "replica weights known",
+            "replica" to replica.entry.id.text,
+            "incarnation" to replica.entry.startedAt,
+            "weights" to number.number,
+            "listed" to replica.entry.weights[model]?.number,
+            "source" to when (source) {
+                WeightsSource.Replica -> "replica"
+                is WeightsSource.OrderedBy -> source.vm.text
+            },
+            "before" to before?.number?.number,
+            "beforeAgeMs" to before?.let { (now - it.at).inWholeMilliseconds },
         )
     }
+    return isChanged
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
@@ -107,7 +107,7 @@
 
     private fun state(record: ReplicaRecord, model: ModelName, now: MonotonicTime) = RolloutReplica(
         record.entry.id,
-        record.weights(model),
+        record.modelWeights.confirmed(model, now),
         record.load(now).requests,
         record.loadingUntil > now,
     )
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/LoadableReplica.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/LoadableReplica.kt
@@ -187,11 +187,15 @@
         return status
     }
 
+    /** Whether it rejects orders with a lower fencing token than it has seen. */
+    @Volatile
+    var checksFences = true
+
     @Synchronized
     private fun drop(order: ReceivedOrder): Int = accept(order).also { changed() }
 
     private fun accept(order: ReceivedOrder): Int = when {
-        order.fence < life.fence -> FENCED
+        checksFences && order.fence < life.fence -> FENCED
         life.isLoading || isBlocked || order.expected != life.acceptedOrders -> CONFLICT
         life.weights[order.model] == order.version -> OK
         else -> {
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
@@ -183,6 +183,7 @@
             .map { (name, isWrittenBetween) ->
                 Case(name, replicas = 1, others = 0) { fleet, _ ->
                     val replica = fleet.replicas.single()
+                    replica.checksFences = false
                     val isFirst = { order: ReceivedOrder -> replica.orders.first { it.version == 3 } === order }
                     replica.fate = { if (it.version == 3 && isFirst(it)) OrderFate.HELD else OrderFate.PROCESSED }
                     fleet.assertLoaded(3, fleet.name(3))
