--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetGateway.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetGateway.kt
@@ -1,5 +1,7 @@
 package org.guavapath.core.weights
 
+import org.guavapath.core.fleet.ReplicaIncarnation
+import org.guavapath.core.fleet.WeightsNumber
 import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.store.Revision
@@ -97,6 +99,13 @@
 
     fun describe(replica: FleetReplica, model: ModelName) = decisions.describe(replica.id, model, now)
 
+    /** Returns as which run of [replica] a request that is sent now counts, null if it is not listed. */
+    fun incarnationOf(replica: FleetReplica): ReplicaIncarnation? = decisions.entry(replica.id)?.incarnation
+
+    /** Receives a response of [replica] to a caller's request, with its weights. */
+    fun responded(replica: ReplicaIncarnation, weights: Map<ModelName, WeightsNumber>) =
+        weights.forEach { (model, number) -> decisions.responded(replica, model, number, now) }
+
     fun received(from: VmId, message: FleetMessage) {
         when (message) {
             is FleetMessage.Status -> statusReceived(from, message)
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetLease.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetLease.kt
@@ -82,6 +82,7 @@
 
     private suspend fun takeOver(former: StoredLease?, calledAt: MonotonicTime, end: MonotonicTime) {
         val highest = maxOf(former?.token ?: FencingToken.NONE, knownHolder?.token ?: FencingToken.NONE)
+        val isFirst = former == null && knownHolder == null && incarnation == 1
         val next = StoredLease(self, incarnation, highest.next(era), former?.revision ?: Revision.NONE)
         val written = call<StoredLease?>(end) { store.writeLease(self, next, former?.revision, it) }
         if (written?.value == null) return
@@ -89,7 +90,11 @@
         confirmedAt = calledAt.takeIf { next.token.era >= written.era }
         val isOfFormerProcess = former?.vm == self && former.incarnation != incarnation &&
             former.token == highest && highest.era >= written.era
-        usableFrom = (if (isOfFormerProcess) startedAt else calledAt) + HANDOVER_DELAY
+        usableFrom = when {
+            isFirst -> calledAt
+            isOfFormerProcess -> startedAt + HANDOVER_DELAY
+            else -> calledAt + HANDOVER_DELAY
+        }
         onEvent("takes the lease with token ${next.token} from ${former?.vm}")
     }
 
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetNetwork.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetNetwork.kt
@@ -73,21 +73,23 @@
         when (fate) {
             CallFate.LOST -> Unit
             CallFate.REFUSED -> back(vm, replica, answer, OrderAnswer.REFUSED)
-            CallFate.LATE -> late(replica, order)
+            CallFate.LATE -> deliverLate(replica.id, order, anyLateTime())
             CallFate.DELIVERED, CallFate.ANSWER_LOST, CallFate.DOUBLED -> reach(vm, replica) { found ->
                 val result = found.receive(order)
                 if (result != null && fate != CallFate.ANSWER_LOST) back(vm, replica, answer, result)
             }
         }
-        if (fate == CallFate.DOUBLED) late(replica, order)
+        if (fate == CallFate.DOUBLED) deliverLate(replica.id, order, anyLateTime())
     }
 
-    private fun late(replica: Replica, order: FleetOrder) {
-        val at = clock.now + random.nextInt(2_000, 12_000).milliseconds
+    /** Delivers [order] at [at], long after its sender has given it up. */
+    fun deliverLate(replica: ReplicaId, order: FleetOrder, at: MonotonicTime) {
         lastArrival = maxOf(lastArrival, at)
-        clock.schedule(at) { replicas[replica.id]?.takeIf { it.isUp }?.receive(order) }
+        clock.schedule(at) { replicas[replica]?.takeIf { it.isUp }?.receive(order) }
     }
 
+    private fun anyLateTime() = clock.now + random.nextInt(2_000, 12_000).milliseconds
+
     private fun reach(vm: VmId, replica: Replica, arrived: (FleetReplica) -> Unit) {
         if (isCut(vm, replica.id)) return
         clock.schedule(clock.now + latency()) { replicas[replica.id]?.takeIf { it.isUp }?.let(arrived) }
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetSimulation.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetSimulation.kt
@@ -64,6 +64,7 @@
         models.forEach { name(it) }
         repeat(situation.replicas) { add() }
         vms.forEach { startGateway(it) }
+        sendRequest()
         situation.names.forEach { (at, isSecond) ->
             clock.schedule(MonotonicTime.ZERO + at) { name(if (isSecond) models.last() else models.first()) }
         }
@@ -165,6 +166,21 @@
         writeEntries(replica)
     }
 
+    /** Sends a caller's request through some gateway to some replica, and another one soon. */
+    private fun sendRequest() {
+        val slot = slots.values.random(random)
+        val replica = replicas.filter { it.isUp }.randomOrNull(random)
+        val sentTo = replica?.let { slot.gateway?.incarnationOf(it) }
+        if (sentTo != null && slot.process.frozenUntil <= clock.now) {
+            val weights = replica.weights
+            val process = slot.process
+            clock.schedule(clock.now + random.nextInt(2, 300).milliseconds) {
+                clock.schedule(clock.now, process) { slot.gateway?.responded(sentTo, weights) }
+            }
+        }
+        clock.schedule(clock.now + REQUEST_INTERVAL) { sendRequest() }
+    }
+
     private fun leave(replica: FleetReplica) {
         present.remove(replica.id)
         clock.schedule(clock.now + ENTRY_LIFETIME) { store.remove(replica.id) }
@@ -224,6 +240,7 @@
     private companion object {
         val MODELS = listOf(ModelName("model-a"), ModelName("model-b"))
         val STEP = 50.milliseconds
+        val REQUEST_INTERVAL = 20.milliseconds
         val ENTRY_INTERVAL = 1200.milliseconds
         val ENTRY_LIFETIME = 3600.milliseconds
         val SETTLING_TIME = 1.seconds
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetSituation.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetSituation.kt
@@ -56,11 +56,24 @@
         private const val MAX_FULL_MESH_SIZE = 16
         private const val GATEWAYS_PER_HUB = 17
 
+        /** Troubles by which an order may be carried out in another state than that in which it was sent. */
+        private val LATE_ORDERS = listOf(
+            FleetTrouble.REPLICAS_CRASH,
+            FleetTrouble.REPLICAS_CRASH_IN_ORDERS,
+            FleetTrouble.HOLDER_KILLED,
+            FleetTrouble.HOLDER_FROZEN,
+            FleetTrouble.ORDERS_LATE,
+            FleetTrouble.ORDERS_DOUBLED,
+            FleetTrouble.MESSAGES_DELAYED,
+            FleetTrouble.REQUESTS_LONG,
+        )
+
         /** Returns the situation of [seed]. */
         fun of(seed: Int, replicas: Int = 6, gateways: Int = 8): FleetSituation {
             val random = Random(seed)
             val layout = ModelLayout.entries.random(random)
-            val troubles = FleetTrouble.entries.shuffled(random).take(random.nextInt(1, 8)).toSet()
+            val kinds = if (random.nextInt(3) > 0) FleetTrouble.entries else LATE_ORDERS
+            val troubles = kinds.shuffled(random).take(random.nextInt(1, 8)).toSet()
             val calmAt = random.nextInt(6_000, 18_000).milliseconds
             return FleetSituation(seed, replicas, gateways, layout, troubles, calmAt, names(random, layout, calmAt))
         }
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetTroubles.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetTroubles.kt
@@ -29,7 +29,8 @@
             FleetTrouble.STORE_RESTORED -> 1
             else -> 6
         }
-        return List(random.nextInt(1, count + 1)) { MonotonicTime.ZERO + between(1.seconds, situation.calmAt) }
+        val first = if (random.nextBoolean()) situation.calmAt - 4.seconds else 1.seconds
+        return List(random.nextInt(1, count + 1)) { MonotonicTime.ZERO + between(first, situation.calmAt) }
     }
 
     private fun happen(trouble: FleetTrouble) {
--- a/core/src/test/kotlin/org/guavapath/core/weights/RolloutDecisions.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/RolloutDecisions.kt
@@ -7,6 +7,7 @@
 
 import org.guavapath.core.fleet.Replica
 import org.guavapath.core.fleet.ReplicaId
+import org.guavapath.core.fleet.ReplicaIncarnation
 import org.guavapath.core.fleet.WeightsNumber
 import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.VmId
@@ -39,6 +40,9 @@
     /** Applies a message of this gateway or another. */
     fun received(message: RolloutMessage, now: MonotonicTime)
 
+    /** Applies the weights that a response to a caller's request states, which was sent to [replica]. */
+    fun responded(replica: ReplicaIncarnation, model: ModelName, number: WeightsNumber, now: MonotonicTime)
+
     /** Applies a report that [replica] has sent. */
     fun reported(replica: Replica, report: FleetReport, now: MonotonicTime)
 
@@ -81,6 +85,15 @@
         }
     }
 
+    override fun responded(
+        replica: ReplicaIncarnation,
+        model: ModelName,
+        number: WeightsNumber,
+        now: MonotonicTime,
+    ) {
+        replicas[replica.id]?.takeIf { it.entry.incarnation == replica }?.recordWeights(model, number)
+    }
+
     override fun reported(replica: Replica, report: FleetReport, now: MonotonicTime) = Unit
 
     override fun replicasToAsk(now: MonotonicTime): List<Replica> = emptyList()
