Simulate watches that a silent store never answers

Nothing asked what happens to a watch that begins while the store gives no answers. The simulation answered it once the silence was over, unlike all other calls. Now no call that begins in the silence is answered.

That the store leaves such watches open is an assumption.

--- a/core/src/test/kotlin/org/guavapath/core/weights/ConvergenceCase.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/ConvergenceCase.kt
@@ -55,6 +55,18 @@
         FleetTrouble.HOLDER_KILLED,
         FleetTrouble.CUT_FROM_STORE,
     ),
+    kept(
+        seed = 12,
+        ModelLayout.TWO_SERVICES,
+        calmAt = 17_375,
+        names = mapOf(17_375 to true),
+        FleetTrouble.HOLDER_KILLED,
+        FleetTrouble.REQUESTS_LONG,
+        FleetTrouble.REPLICAS_CRASH,
+        FleetTrouble.REPLICAS_CRASH_IN_ORDERS,
+        FleetTrouble.ORDERS_DOUBLED,
+        FleetTrouble.MESSAGES_DELAYED,
+    ).copy(replicas = 1_400, gateways = 340),
 )
 
 /** An order for older weights is carried out after a restart has cleared what the replica had accepted. */
@@ -89,5 +101,15 @@
     fleet.at(calmAt) { fleet.holder?.let { fleet.kill(it, downFor = null) } }
 }
 
+/** The store gives no answers for a second after it has told of a name, so that all gateways watch it in vain. */
+internal val silentStore = ConvergenceCase(
+    List(8) { situation(it, ModelLayout.ONE, calmAt - 1.seconds to false, calmAt to false) },
+) { fleet, _ ->
+    fleet.at(calmAt - 1.seconds + 15.milliseconds) {
+        fleet.vms.forEach { fleet.store.setAccess(it, StoreAccess.SILENT) }
+    }
+    fleet.at(calmAt) { fleet.vms.forEach { fleet.store.setAccess(it, StoreAccess.SERVED) } }
+}
+
 private fun FleetSimulation.at(time: Duration, action: () -> Unit) =
     clock.schedule(MonotonicTime.ZERO + time, action = action)
--- a/core/src/test/kotlin/org/guavapath/core/weights/ConvergenceSimulationTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/ConvergenceSimulationTest.kt
@@ -48,6 +48,10 @@
     fun twoServicesAreLoadedInTimeAfterTheHolderIsLost() =
         ConvergencePlay.check(twoServices.situations, twoServices.script)
 
+    /** Guards against targets that nobody learns of as the watches of all gateways get no answer. */
+    @Test
+    fun targetsAreLearnedAfterTheStoreWasSilent() = ConvergencePlay.check(silentStore.situations, silentStore.script)
+
     private fun check(count: Int, situationOf: (Int) -> FleetSituation) {
         val situations = (firstSeed until firstSeed + count).map(situationOf)
         ConvergencePlay.check(situations.filter { it.troubles.none { trouble -> trouble.name in without } })
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetStore.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetStore.kt
@@ -34,7 +34,7 @@
     data object Failure : StoreAnswer<Nothing>()
 }
 
-/** How the store treats the calls of a gateway. */
+/** How the store treats the calls of a gateway; a call that begins while it is silent is never answered. */
 internal enum class StoreAccess { SERVED, FAILING, SILENT }
 
 /** The platform's object store. */
@@ -115,6 +115,7 @@
     fun watch(vm: VmId, kind: FleetKind, after: Revision, answer: (StoreAnswer<FleetListing?>) -> Unit) {
         when {
             accessOf(vm) == StoreAccess.FAILING -> call(vm, answer) { StoreAnswer.Failure }
+            accessOf(vm) == StoreAccess.SILENT -> Unit
             after.era < revision.era -> call(vm, answer) { StoreAnswer.Success(null, revision.era) }
             else -> {
                 watches.add(Watch(vm, kind, after, answer))
