--- a/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
@@ -56,7 +56,8 @@
  * the ones whose orders do not fail, and of those the least loaded. If loads take so long, or began so late, that not
  * all replicas would be ordered while the weights before may still be used, more load at a time. Replicas whose weights
  * may not be used any more serve no requests, so that they all load at once. A replica that might not be done in time
- * if it waited for its requests does not wait for them.
+ * if it waited for its requests does not wait for them, nor does one that is ordered again: orders may be carried out
+ * seconds late.
  *
  * @param usableFor how long weights may be used after newer ones were named
  * @param startDelay how long after the newest target was set the first replica is ordered
@@ -103,7 +104,8 @@
             .take(maxOf(0, most - loading.size))
         return (unusable + next).map { replica ->
             val isLate = ages.getValue(replica.id) + expected > usableFor
-            val time = if (isLate) LoadTime.AtOnce else LoadTime.AfterRequests
+            val isRepeated = replica.id in failures
+            val time = if (isLate || isRepeated) LoadTime.AtOnce else LoadTime.AfterRequests
             WeightsOrder(replica.id, model, target, time).also { active[replica.id] = Attempt(it, now) }
         }
     }
