--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
@@ -324,6 +324,14 @@
     fun aHolderThatStopsIsFollowedInTime() = assertEach(
         listOf(
             named("its store takes 800 ms") { _, holder -> holder.store.latency = 800.milliseconds },
+            named("it sees no change of the store") { _, holder -> holder.store.watchDelay = 30.seconds },
+            named("it stands still for 3 s") { _, holder ->
+                holder.standStill()
+                thread(isDaemon = true) {
+                    Thread.sleep(STANDSTILL.inWholeMilliseconds)
+                    holder.goOn()
+                }
+            },
             named("it stands still") { _, holder -> holder.standStill() },
             named("it has ended") { _, holder -> holder.kill() },
         ),
@@ -386,6 +394,7 @@
         val NAME_INTERVAL = 100.milliseconds
         val SERIES_INTERVAL = 400.milliseconds
         val BUSY_TIME = 4.seconds
+        val STANDSTILL = 3.seconds
         val RESTART_TIME = 200.milliseconds
 
         /** Longer than gateways take to see a change of the list. */
