Failing rows: several gateways that do not reach replicas, or are slow

A holder that gives way is not enough if the next one does not reach the replicas either, if each gateway reaches only a part, or if all are slow: a confirmation of 700 ms ends before the order is sent, whoever has the lease.

--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
@@ -204,10 +204,11 @@
     )
 
     /** A case in which [begin] comes before weights are named. */
-    private fun named(name: String, begin: (LoadingFleet, LoadingGateway) -> Unit) = Case(name) { fleet, holder ->
-        begin(fleet, holder)
-        fleet.assertLoaded(3, fleet.name(3))
-    }
+    private fun named(name: String, others: Int = 1, begin: (LoadingFleet, LoadingGateway) -> Unit) =
+        Case(name, others = others) { fleet, holder ->
+            begin(fleet, holder)
+            fleet.assertLoaded(3, fleet.name(3))
+        }
 
     private fun ordersOfHolder(fate: OrderFate, replicas: List<LoadableReplica>) =
         replicas.forEach { it.fate = { order -> if (order.holder == "vm-0") fate else OrderFate.PROCESSED } }
@@ -223,11 +224,17 @@
             named("orders to one are lost") { fleet, _ -> ordersOfHolder(OrderFate.LOST, fleet.replicas.take(1)) },
             named("orders to all are lost") { fleet, _ -> ordersOfHolder(OrderFate.LOST, fleet.replicas) },
             named("orders to all are refused") { fleet, _ -> ordersOfHolder(OrderFate.REFUSED, fleet.replicas) },
+            named("each of two gateways reaches a part") { fleet, _ ->
+                fleet.replicas.forEachIndexed { index, replica -> replica.doors[index % 2].close() }
+            },
+            named("two of three gateways reach none", others = 2) { fleet, _ ->
+                fleet.replicas.forEach { replica -> replica.doors.take(2).forEach { it.close() } }
+            },
         ),
     )
 
-    private fun delayResponses(fleet: LoadingFleet, latency: Duration) =
-        fleet.replicas.forEach { it.doors.first().latency = latency }
+    private fun delayResponses(fleet: LoadingFleet, latency: Duration, gateways: Int = 1) =
+        fleet.replicas.forEach { replica -> replica.doors.take(gateways).forEach { it.latency = latency } }
 
     /** Guards against a holder that confirms the lease, but each time too late to send an order. */
     @Test
@@ -237,6 +244,10 @@
                 holder.store.latency = 400.milliseconds
                 delayResponses(fleet, 400.milliseconds)
             },
+            named("all calls of all gateways take 400 ms") { fleet, _ ->
+                fleet.gateways.forEach { it.store.latency = 400.milliseconds }
+                delayResponses(fleet, 400.milliseconds, fleet.gateways.size)
+            },
             named("the store takes 550 ms, and replicas 200 ms") { fleet, holder ->
                 holder.store.latency = 550.milliseconds
                 delayResponses(fleet, 200.milliseconds)
