--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StuckReplicasTest.kt
@@ -205,10 +205,11 @@
     )
 
     /** A case in which [begin] comes before weights are named. */
-    private fun named(name: String, begin: (LoadingFleet, LoadingGateway) -> Unit) = Case(name) { fleet, holder ->
-        begin(fleet, holder)
-        fleet.assertLoaded(3, fleet.name(3))
-    }
+    private fun named(name: String, others: Int = 1, begin: (LoadingFleet, LoadingGateway) -> Unit) =
+        Case(name, others = others) { fleet, holder ->
+            begin(fleet, holder)
+            fleet.assertLoaded(3, fleet.name(3))
+        }
 
     private fun ordersOfHolder(fate: OrderFate, replicas: List<LoadableReplica>) =
         replicas.forEach { it.fate = { order -> if (order.holder == "vm-0") fate else OrderFate.PROCESSED } }
@@ -224,11 +225,17 @@
             named("orders to one are lost") { fleet, _ -> ordersOfHolder(OrderFate.LOST, fleet.replicas.take(1)) },
             named("orders to all are lost") { fleet, _ -> ordersOfHolder(OrderFate.LOST, fleet.replicas) },
             named("orders to all are refused") { fleet, _ -> ordersOfHolder(OrderFate.REFUSED, fleet.replicas) },
+            named("each of two gateways reaches a part") { fleet, _ ->
+                fleet.replicas.forEachIndexed { index, replica -> replica.doors[index % 2].close() }
+            },
+            named("two of three gateways reach none", others = 2) { fleet, _ ->
+                fleet.replicas.forEach { replica -> replica.doors.take(2).forEach { it.close() } }
+            },
         ),
     )
 
-    private fun delayResponses(fleet: LoadingFleet, latency: Duration) =
-        fleet.replicas.forEach { it.doors.first().latency = latency }
+    private fun delayResponses(fleet: LoadingFleet, latency: Duration, gateways: Int = 1) =
+        fleet.replicas.forEach { replica -> replica.doors.take(gateways).forEach { it.latency = latency } }
 
     /** Guards against a holder that confirms the lease, but each time too late to send an order. */
     @Test
@@ -238,6 +245,10 @@
                 holder.store.latency = 400.milliseconds
                 delayResponses(fleet, 400.milliseconds)
             },
+            named("all calls of all gateways take 400 ms") { fleet, _ ->
+                fleet.gateways.forEach { it.store.latency = 400.milliseconds }
+                delayResponses(fleet, 400.milliseconds, fleet.gateways.size)
+            },
             named("the store takes 550 ms, and replicas 200 ms") { fleet, holder ->
                 holder.store.latency = 550.milliseconds
                 delayResponses(fleet, 200.milliseconds)
@@ -325,6 +336,14 @@
     fun aHolderThatStopsIsFollowedInTime() = assertEach(
         listOf(
             named("its store takes 800 ms") { _, holder -> holder.store.latency = 800.milliseconds },
+            named("it sees no change of the store") { _, holder -> holder.store.watchDelay = 30.seconds },
+            named("it stands still for 3 s") { _, holder ->
+                holder.standStill()
+                thread(isDaemon = true) {
+                    Thread.sleep(STANDSTILL.inWholeMilliseconds)
+                    holder.goOn()
+                }
+            },
             named("it stands still") { _, holder -> holder.standStill() },
             named("it has ended") { _, holder -> holder.kill() },
         ),
@@ -387,6 +406,7 @@
         val NAME_INTERVAL = 100.milliseconds
         val SERIES_INTERVAL = 400.milliseconds
         val BUSY_TIME = 4.seconds
+        val STANDSTILL = 3.seconds
         val RESTART_TIME = 200.milliseconds
 
         /** Longer than gateways take to see a change of the list. */
