Crashes of one request whose copies run at the same time count in a row

Cause: a crash counted as the next in a row only if its request had been sent after the crash before was known; the depth was taken when the request was sent, so that copies that ran at the same time counted once.

The depth of a crash now follows from the crashes themselves: after those before its request was sent, and after those 100 ms or more before it. Each gateway derives it from all that it knows, so that a crash that is noticed late, or by another gateway at the same time, counts. What replicas ran that are lost at one moment still counts once, and one incarnation counts once however many gateways report it. The message between gateways is unchanged.

--- a/core/src/main/kotlin/org/guavapath/core/quarantine/RequestCrash.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/RequestCrash.kt
@@ -11,8 +11,7 @@
  * @property incarnation the run of the replica that ended
  * @property request id of the caller's attempt
  * @property at when it crashed
- * @property depth number of crashes in a row with this request, each known when the request of the next one was sent,
- *   so that replicas which crash at the same moment count once
+ * @property depth number of crashes in a row with this request; replicas that are lost at one moment count once
  */
 public data class RequestCrash(
     public val key: RequestKey,
--- a/core/src/test/kotlin/org/guavapath/core/quarantine/RequestQuarantineTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/quarantine/RequestQuarantineTest.kt
@@ -22,6 +22,10 @@
 private fun crash(key: RequestKey, number: Int, at: MonotonicTime, depth: Int) =
     RequestCrash(key, ReplicaIncarnation(ReplicaId("replica-$number"), 1), RequestId("request-$number"), at, depth)
 
+/** Returns the crash of the replica [number] as a VM with this view reports it. */
+private fun RequestQuarantine.crashOf(key: RequestKey, number: Int, sentAt: MonotonicTime, at: MonotonicTime) =
+    crash(key, number, at, depth(key, crash(key, number, at, 1).incarnation, sentAt))
+
 /** Requests of one key that arrive at [gateways] gateways, which hear of each other's news after [delay]. */
 private class Repeats(private val gateways: Int, private val delay: Duration, private val timeToCrash: Duration) {
     private class Event(val at: MonotonicTime, val apply: () -> Unit)
@@ -35,6 +39,10 @@
     /** Sends more than three seconds after the third crash. */
     var lateSends = 0
         private set
+
+    /** Sends after all views could know of the third crash. */
+    var informedSends = 0
+        private set
     val crashes: Int get() = thirdCrashes.size
 
     fun play(interval: Duration, duration: Duration) {
@@ -55,10 +63,10 @@
         sends += 1
         val third = thirdCrashes.getOrNull(2)
         if (third != null && now - third > 3.seconds) lateSends += 1
-        val depth = views[gateway].depth(deadly)
+        if (third != null && now - third > delay) informedSends += 1
         val number = sends
         events += Event(now + timeToCrash) {
-            val crash = crash(deadly, number, now + timeToCrash, depth + 1)
+            val crash = views[gateway].crashOf(deadly, number, sentAt = now, at = now + timeToCrash)
             thirdCrashes += crash.at
             views[gateway].add(crash)
             (views - views[gateway]).forEach { view -> events += Event(crash.at + delay) { view.add(crash) } }
@@ -73,6 +81,10 @@
     private fun RequestQuarantine.crashed(number: Int, after: Duration, depth: Int) =
         add(crash(deadly, number, start + after, depth))
 
+    /** Adds the crash of the replica [number] that had a request sent right after the start. */
+    private fun RequestQuarantine.crashedOf(number: Int, after: Duration) =
+        add(crashOf(deadly, number, sentAt = start, at = start + after))
+
     private val cases = listOf(
         Case("nothing has crashed", false) {},
         Case("two crashes in a row", false) {
@@ -94,6 +106,24 @@
             crashed(2, 1.seconds, 1)
             crashed(3, 1.seconds, 1)
         },
+        Case("three replicas that ran copies at the same time", true) {
+            (1..3).forEach { crashedOf(it, 250.milliseconds * it) }
+        },
+        Case("in another order, as heard from other VMs", true) {
+            listOf(1, 3, 2).forEach { crashed(it, 250.milliseconds * it, it) }
+        },
+        Case("eight replicas with copies that are lost within 80 ms", false) {
+            (1..8).forEach { crashedOf(it, 10.milliseconds * it) }
+        },
+        Case("two replicas, of which three VMs hear at different times", false) {
+            (1..6).forEach { crashedOf(it % 2, 250.milliseconds * it) }
+        },
+        Case("copies that were answered between the crashes", false) {
+            (1..3).forEach {
+                crashedOf(it, 250.milliseconds * it)
+                answered(deadly, start + 250.milliseconds * it + 10.milliseconds)
+            }
+        },
         Case("answered before the last one", false) {
             crashed(1, 1.seconds, 1)
             crashed(2, 2.seconds, 2)
@@ -140,6 +170,17 @@
         }
     }
 
+    /** Guards against crashes that count once because copies of the request run at the same time. */
+    @Test
+    fun repeatsThatOverlapAreContained() = listOf(50, 250, 800).map { it.milliseconds }.forEach { interval ->
+        listOf(0, 100, 500).map { it.milliseconds }.forEach { delay ->
+            val repeats = Repeats(gateways = 8, delay, timeToCrash = 1.seconds)
+            repeats.play(interval, 1.minutes)
+            val name = "every $interval, delay $delay"
+            assertTrue(repeats.informedSends <= 3, "$name: ${repeats.informedSends} sends after the third crash")
+        }
+    }
+
     /** Guards against holding sound requests that other crashes hit once or twice while callers repeat them. */
     @Test
     fun soundRequestsThatOtherCrashesHitAreNotHeld() {
@@ -149,9 +190,9 @@
             var now = start
             repeat(random.nextInt(1, 4)) { round ->
                 val copies = random.nextInt(1, 4)
-                val depth = quarantine.depth(deadly)
+                val sentAt = now
                 now += random.nextInt(1, 5_000).milliseconds
-                repeat(copies) { copy -> quarantine.add(crash(deadly, 10 * round + copy, now, depth + 1)) }
+                repeat(copies) { copy -> quarantine.add(quarantine.crashOf(deadly, 10 * round + copy, sentAt, now)) }
                 if (round % 2 == 1) quarantine.answered(deadly, now + random.nextInt(1, 500).milliseconds)
                 now += 500.milliseconds
             }
@@ -166,7 +207,7 @@
         for (number in 1..10_000) {
             val now = start + 1.milliseconds * number
             quarantine.add(crash(RequestKey(1_000L + number), number, now, 1))
-            if (number % 1_000 == 0) quarantine.add(crash(deadly, number, now, quarantine.depth(deadly) + 1))
+            if (number % 1_000 == 0) quarantine.add(quarantine.crashOf(deadly, number, sentAt = now, at = now))
             if (number % 100 == 0) quarantine.verdict(deadly, now)
         }
         assertTrue(quarantine.crashes.size <= 1_100, "${quarantine.crashes.size} crashes")
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -71,9 +71,6 @@
     var isCountedAsRun = false
     val startedAt = MonotonicTime.now()
 
-    /** How many crashes in a row there were with such a request before. */
-    val depth = context.requestQuarantine.depth(admitted.key)
-
     /** How much of the response has arrived. */
     val progress = AttemptProgress()
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -29,7 +29,7 @@
         val attempt = cutOff.attempt
         val replica = attempt.choice.record.entry
         val id = admitted.request.id
-        requests.crashed(admitted.key, replica.incarnation, id, cutOff.at, attempt.depth)
+        requests.crashed(admitted.key, replica.incarnation, id, attempt.startedAt, cutOff.at)
         val progress = attempt.progress
         val prompt = admitted.request.prompt
         val stage = CrashStage.of(progress.headAt?.let { cutOff.at - it }, hasBody = progress.firstBytesAt != null)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RequestQuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RequestQuarantineTask.kt
@@ -35,12 +35,14 @@
     /** Returns whether a request with [key] may be sent to a replica. */
     fun verdict(key: RequestKey): RequestVerdict = quarantine.verdict(key, MonotonicTime.now())
 
-    /** Returns how many crashes in a row there were with [key] so far. */
-    fun depth(key: RequestKey): Int = quarantine.depth(key)
-
-    /** Records that [incarnation] crashed at [at] with the [request] of [key], which was sent at [depth]. */
-    fun crashed(key: RequestKey, incarnation: ReplicaIncarnation, request: RequestId, at: MonotonicTime, depth: Int) =
-        add(listOf(RequestCrash(key, incarnation, request, at, depth + 1)))
+    /** Records that [incarnation] crashed at [at] with the [request] of [key], which was sent at [sentAt]. */
+    fun crashed(
+        key: RequestKey,
+        incarnation: ReplicaIncarnation,
+        request: RequestId,
+        sentAt: MonotonicTime,
+        at: MonotonicTime,
+    ) = add(listOf(RequestCrash(key, incarnation, request, at, quarantine.depth(key, incarnation, sentAt))))
 
     /** Records that a request with [key] was answered completely. */
     fun answered(key: RequestKey) {
