Sound prompts are served that share parts with a request that crashes replicas

Cause, traced: on the replicas that crash, sound prompts wait for their first event, which speaks against the parts that they share. Two crashes 190 ms apart, with no such prompt answered between them, suffice, and the parts are held for 30 s. The request itself is then refused for these parts too, and does not reach the third crash that shows it.

Parts that were answered before are no longer suspected while one whole request explains all crashes on prompts with them: it was on each of these replicas, at two crashes in a row or more, and was not answered since. A crash that it does not explain brings the suspicion back with all its weight, so that a part that is the cause after all costs one crash more. Parts that were never answered are held as before. The messages between gateways are unchanged.

Evidence: PromptQuarantineTest has both kinds of cause, and VMs that hear of crashes and explanations in any order.

--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
@@ -1,6 +1,7 @@
 package org.guavapath.core.quarantine
 
 import org.guavapath.core.fleet.ReplicaId
+import org.guavapath.core.fleet.ReplicaIncarnation
 import org.guavapath.core.identity.RequestId
 import org.guavapath.core.time.MonotonicTime
 
@@ -9,6 +10,9 @@
     private val answered = AnsweredParts()
     private val byId = LinkedHashMap<Triple<ReplicaId, Long, RequestId>, CrashReport>()
 
+    /** Sets of incarnations that one whole request has crashed in a row. */
+    var explanations: Set<Set<ReplicaIncarnation>> = emptySet()
+
     /** All reports that may still matter, oldest first. */
     val reports: Collection<CrashReport> get() = byId.values
 
@@ -37,10 +41,11 @@
     /**
      * Returns the parts of [report] that are suspected together; empty if the evidence is too weak.
      *
-     * A part that was answered before more likely shares a prompt with the cause, so it takes twice the evidence.
+     * A part that was answered before more likely shares a prompt with the cause, so it takes twice the evidence, and
+     * none if one whole request explains all of it.
      */
     fun suspectedIn(report: CrashReport): Set<PartKey> {
-        val weights = report.suspects.associateWith { weightOf(it) }
+        val weights = report.suspects.filterNot { wasAnswered(it) && isExplained(it) }.associateWith { weightOf(it) }
             .filter { (part, weight) -> weight >= if (wasAnswered(part)) 2 * SUFFICIENT_WEIGHT else SUFFICIENT_WEIGHT }
         val largest = weights.values.maxOrNull() ?: return emptySet()
         return weights.filterValues { it == largest }.keys
@@ -65,6 +70,11 @@
         return merged
     }
 
+    private fun isExplained(part: PartKey): Boolean {
+        val crashed = byId.values.filter { part in it.suspects }.map { it.incarnation }
+        return explanations.any { it.containsAll(crashed) }
+    }
+
     private fun wasAnswered(part: PartKey) = byId.values.any { part in it.answeredBefore }
 
     companion object {
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashReport.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashReport.kt
@@ -1,6 +1,7 @@
 package org.guavapath.core.quarantine
 
 import org.guavapath.core.fleet.ReplicaId
+import org.guavapath.core.fleet.ReplicaIncarnation
 import org.guavapath.core.identity.RequestId
 import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration
@@ -71,7 +72,7 @@
 ) {
     /** Identity of the report; reports with the same one are merged. */
     public val id: Triple<ReplicaId, Long, RequestId> get() = Triple(replica, startedAt, request)
-    internal val incarnation: Pair<ReplicaId, Long> get() = replica to startedAt
+    internal val incarnation: ReplicaIncarnation get() = ReplicaIncarnation(replica, startedAt)
 
     /** Parts that may be the cause. */
     internal val suspects: Set<PartKey> get() = parts - answeredSince
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/PromptQuarantine.kt
@@ -5,10 +5,12 @@
  * The evidence are crash reports of all VMs. A part is suspected if replicas crashed on prompts with it and none with
  * it was answered since. Requests share most of their parts with sound ones, which clear these: by an earlier answer,
  * unless replicas crash repeatedly, or by a later one. Of the parts of a prompt that remain, those with the most
- * crashes are suspected together, and a request is affected only if its prompt has all of them.
+ * crashes are suspected together, and a request is affected only if its prompt has all of them. Parts that were
+ * answered before are not suspected while one whole request explains all crashes on prompts with them.
  */
 package org.guavapath.core.quarantine
 
+import org.guavapath.core.fleet.ReplicaIncarnation
 import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -46,6 +48,14 @@
         return true
     }
 
+    /** Sets which incarnations whole requests have crashed in a row; returns whether that is news. */
+    public fun explain(crashed: Set<Set<ReplicaIncarnation>>): Boolean {
+        val isNews = crashed != ledger.explanations
+        ledger.explanations = crashed
+        if (isNews) rebuild()
+        return isNews
+    }
+
     /** Returns whether a request with [parts] may be sent at [now]. */
     public fun verdict(parts: Set<PartKey>, now: MonotonicTime): QuarantineVerdict {
         val until = entries.filter { parts.containsAll(it.parts) }
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/RequestQuarantine.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/RequestQuarantine.kt
@@ -51,6 +51,11 @@
     /** All crashes that may still matter. */
     public val crashes: List<RequestCrash> get() = records.values.flatMap { it.reported }
 
+    /** For each request with crashes in a row, the incarnations that crashed with it. */
+    public val crashedInARow: Set<Set<ReplicaIncarnation>>
+        get() = records.values.filter { it.row.size > 1 }
+            .map { record -> record.current.map { it.incarnation }.toSet() }.toSet()
+
     /** Number of requests that are held at [now]. */
     public fun held(now: MonotonicTime): Int = records.values.count { verdictOf(it, now) is RequestVerdict.Held }
 
--- a/core/src/test/kotlin/org/guavapath/core/quarantine/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/quarantine/PromptQuarantineTest.kt
@@ -1,6 +1,7 @@
 package org.guavapath.core.quarantine
 
 import org.guavapath.core.fleet.ReplicaId
+import org.guavapath.core.fleet.ReplicaIncarnation
 import org.guavapath.core.identity.RequestId
 import org.guavapath.core.time.MonotonicTime
 import kotlin.test.Test
@@ -15,6 +16,8 @@
 private class History(val quarantine: PromptQuarantine = PromptQuarantine()) {
     var now = MonotonicTime.ZERO
         private set
+    var explanations = emptySet<Set<ReplicaIncarnation>>()
+        private set
     private var requests = 0
 
     fun wait(duration: Duration) {
@@ -39,6 +42,12 @@
         quarantine.add(listOf(CrashReport(ReplicaId(replica), 0, request, now, stage, keys(*parts))), now)
     }
 
+    /** The replicas crashed in a row with one whole request. */
+    fun explained(vararg replicas: String) {
+        explanations = setOf(replicas.map { ReplicaIncarnation(ReplicaId(it), 0) }.toSet())
+        quarantine.explain(explanations)
+    }
+
     fun verdict(vararg parts: String): QuarantineVerdict = quarantine.verdict(keys(*parts), now)
 
     fun isQuarantined(prompt: String): Boolean =
@@ -116,6 +125,31 @@
             answered("a")
             crashed("r1", "a", "x", "y")
         },
+        Case("one whole request explains both crashes", emptyList(), listOf("a b")) {
+            answered("a", "b")
+            crashed("r1", "a", "b")
+            crashed("r2", "a", "b")
+            explained("r1", "r2")
+        },
+        Case("a whole request explains one crash of two", listOf("a b"), listOf("a")) {
+            answered("a", "b")
+            crashed("r1", "a", "b")
+            crashed("r2", "a", "b")
+            explained("r1", "r3")
+        },
+        Case("a crash follows that it does not explain", listOf("a b"), listOf("a")) {
+            answered("a", "b")
+            crashed("r1", "a", "b")
+            crashed("r2", "a", "b")
+            explained("r1", "r2")
+            crashed("r3", "a", "b")
+        },
+        Case("it explains crashes on a part that was never answered", listOf("a x"), listOf("a")) {
+            answered("a")
+            crashed("r1", "a", "x")
+            crashed("r2", "a", "x")
+            explained("r1", "r2")
+        },
         Case("a prompt without shared parts", emptyList(), listOf("a")) { crashed("r1") },
     )
 
@@ -135,10 +169,12 @@
             val observer = History().apply(case.history)
             val reports = observer.quarantine.reports.toList()
             val orders = listOf(reports, reports.reversed(), reports + reports)
-            orders.forEach { order ->
+            orders.flatMap { order -> listOf(0, order.size).map { order to it } }.forEach { (order, explainedAfter) ->
                 val other = History()
                 other.wait(observer.now - MonotonicTime.ZERO)
-                order.forEach { other.quarantine.add(listOf(it), other.now) }
+                order.take(explainedAfter).forEach { other.quarantine.add(listOf(it), other.now) }
+                other.quarantine.explain(observer.explanations)
+                order.drop(explainedAfter).forEach { other.quarantine.add(listOf(it), other.now) }
                 assertEquals(observer.quarantine.quarantined, other.quarantine.quarantined, case.name)
                 assertEquals(false, other.quarantine.add(reports, other.now), "${case.name}: nothing new")
             }
--- a/core/src/test/kotlin/org/guavapath/core/quarantine/RequestQuarantineTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/quarantine/RequestQuarantineTest.kt
@@ -153,6 +153,24 @@
         assertEquals(case.isHeld, verdict is RequestVerdict.Held, "${case.name}: $verdict")
     }
 
+    /** Guards against blaming parts of prompts for crashes of one whole request, and the other way round. */
+    @Test
+    fun crashesInARowExplainEachOther() {
+        val replicas = { numbers: List<Int> -> numbers.map { crash(deadly, it, start, 1).incarnation }.toSet() }
+        val histories = listOf<Pair<Set<Set<ReplicaIncarnation>>, RequestQuarantine.() -> Unit>>(
+            setOf(replicas(listOf(1, 2))) to { (1..2).forEach { crashed(it, 1.seconds * it, it) } },
+            emptySet<Set<ReplicaIncarnation>>() to { crashed(1, 1.seconds, 1) },
+            emptySet<Set<ReplicaIncarnation>>() to { (1..3).forEach { crashed(it, 1.seconds, 1) } },
+            emptySet<Set<ReplicaIncarnation>>() to {
+                (1..2).forEach { crashed(it, 1.seconds * it, it) }
+                answered(deadly, start + 3.seconds)
+            },
+        )
+        histories.forEachIndexed { index, (expected, history) ->
+            assertEquals(expected, RequestQuarantine().apply(history).crashedInARow, "history $index")
+        }
+    }
+
     /** Guards against more crashes, and more sends after the third one, than are allowed, over an hour. */
     @Test
     fun repeatsAtAnyGatewayAreContained() {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -114,6 +114,9 @@
         scope.launch { rollout.run(scope) }
         quarantine.onQuarantined = { exchanges.running.toList().forEach { it.endIfQuarantined() } }
         requestQuarantine.onHeld = quarantine.onQuarantined
+        requestQuarantine.onChanged = {
+            if (fleet.quarantine.explain(fleet.requestQuarantine.crashedInARow)) quarantine.changed()
+        }
         scope.launch { quarantine.run(scope) }
         scope.launch { requestQuarantine.run() }
         scope.launch { namedRates.run(scope) }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -105,7 +105,8 @@
         changed()
     }
 
-    private fun changed() {
+    /** Logs and publishes what has changed in the fleet's quarantine. */
+    fun changed() {
         val current = quarantine.quarantined
         val added = current - logged
         added.forEach { log.stateChange("quarantine begun", "parts" to it.map(PartKey::toString)) }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RequestQuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RequestQuarantineTask.kt
@@ -22,11 +22,15 @@
     /** Called when a further request is held. */
     var onHeld: () -> Unit = {}
 
+    /** Called when crashes were added or cleared. */
+    var onChanged: () -> Unit = {}
+
     /** Repeats what is known, for gateways that have missed it, and forgets what does not matter any more. */
     suspend fun run() {
         while (true) {
             delay(REPEAT_INTERVAL)
             quarantine.expire(MonotonicTime.now())
+            onChanged()
             val crashes = quarantine.crashes
             if (crashes.isNotEmpty()) peers.broadcast(message(crashes))
         }
@@ -47,6 +51,7 @@
     /** Records that a request with [key] was answered completely. */
     fun answered(key: RequestKey) {
         if (quarantine.answered(key, MonotonicTime.now())) {
+            onChanged()
             peers.broadcast(PeerMessage.RequestCrashes(emptyList(), mapOf(key.bits to 0), isGreeting = false))
         }
     }
@@ -61,7 +66,10 @@
         val cleared = message.answeredAgo.filter { (key, ago) ->
             quarantine.answered(RequestKey(key), now + (-ago).milliseconds)
         }
-        if (cleared.isNotEmpty()) peers.broadcast(PeerMessage.RequestCrashes(emptyList(), cleared, isGreeting = false))
+        if (cleared.isNotEmpty()) {
+            onChanged()
+            peers.broadcast(PeerMessage.RequestCrashes(emptyList(), cleared, isGreeting = false))
+        }
         if (message.isGreeting && quarantine.crashes.isNotEmpty()) peers.send(from, message(quarantine.crashes))
     }
 
@@ -70,7 +78,9 @@
             val wasHeld = verdict(crash.key) is RequestVerdict.Held
             quarantine.add(crash).also { if (it) logIfHeld(crash.key, wasHeld) }
         }
-        if (news.isNotEmpty()) peers.broadcast(message(news))
+        if (news.isEmpty()) return
+        onChanged()
+        peers.broadcast(message(news))
     }
 
     private fun logIfHeld(key: RequestKey, wasHeld: Boolean) {
