A crash is noticed whose request the gateway has just given up

Cause, traced: other gateways report that prompts crash replicas, the shared parts are held, and the gateway ends the requests that wait with them: among them the one that crashes replicas, right before its replica ends, or while the replica goes on with it. A request that was ended leaves no evidence, so that this crash did not count.

The gateway now watches the replica of a request that it gives up, as it does after a connection that closed, if replicas have crashed with such a request or its parts are held, and if the request was handed to a connection.

A request that is given up before any replica is known to have crashed with one like it still leaves no evidence.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -91,7 +91,10 @@
     }
 
     /** Ends the attempt and closes its connection, so that the replica stops working on the request. */
-    fun cancel() = end(outcome = null) { call?.cancel() }
+    fun cancel() = end(outcome = null) {
+        call?.cancel()
+        if (call?.isConnected == true) context.crashes.givenUp(this, admitted)
+    }
 
     /** Reads on, or pauses while the caller does not keep up; a paused response is not stalled. */
     fun setReading(isReading: Boolean) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -25,11 +25,29 @@
         probes.examine(record.entry, onEnded = { report(cutOff, admitted) }, onSettled = then)
     }
 
+    /**
+     * Watches the replica of [attempt], which the gateway gives up, if replicas have crashed with such requests: it may
+     * go on with the request, or has ended and the connection is about to close.
+     */
+    fun givenUp(attempt: Attempt, admitted: AdmittedRequest) {
+        val isSuspect = requests.isSuspect(admitted.key) ||
+            admitted.request.prompt?.let { quarantine.isQuarantined(it) } ?: false
+        if (!isSuspect) return
+        val replica = attempt.choice.record.entry
+        val onEnded = { recordCrash(attempt, admitted, MonotonicTime.now()) }
+        probes.examine(replica, onEnded, onSettled = {})
+    }
+
+    private fun recordCrash(attempt: Attempt, admitted: AdmittedRequest, at: MonotonicTime) {
+        val incarnation = attempt.choice.record.entry.incarnation
+        requests.crashed(admitted.key, incarnation, admitted.request.id, attempt.startedAt, at)
+    }
+
     private fun report(cutOff: CutOffAttempt, admitted: AdmittedRequest) {
         val attempt = cutOff.attempt
         val replica = attempt.choice.record.entry
         val id = admitted.request.id
-        requests.crashed(admitted.key, replica.incarnation, id, attempt.startedAt, cutOff.at)
+        recordCrash(attempt, admitted, cutOff.at)
         val progress = attempt.progress
         val prompt = admitted.request.prompt
         val stage = CrashStage.of(progress.headAt?.let { cutOff.at - it }, hasBody = progress.firstBytesAt != null)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
@@ -25,6 +25,9 @@
     var isCancelled = false
         private set
 
+    /** Whether the request was handed to a connection. */
+    val isConnected: Boolean get() = connection != null
+
     /** Cancels the call; its listener gets no more calls. */
     fun cancel() {
         isCancelled = true
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RequestQuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RequestQuarantineTask.kt
@@ -39,6 +39,9 @@
     /** Returns whether a request with [key] may be sent to a replica. */
     fun verdict(key: RequestKey): RequestVerdict = quarantine.verdict(key, MonotonicTime.now())
 
+    /** Returns whether replicas have crashed with [key], and none like it was answered since. */
+    fun isSuspect(key: RequestKey): Boolean = quarantine.isSuspect(key)
+
     /** Records that [incarnation] crashed at [at] with the [request] of [key], which was sent at [sentAt]. */
     fun crashed(
         key: RequestKey,
