--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -72,9 +72,6 @@
     var isCountedAsRun = false
     val startedAt = MonotonicTime.now()
 
-    /** How many crashes in a row there were with such a request before. */
-    val depth = context.requestQuarantine.depth(admitted.key)
-
     /** How much of the response has arrived. */
     val progress = AttemptProgress()
 
@@ -95,7 +92,10 @@
     }
 
     /** Ends the attempt and closes its connection, so that the replica stops working on the request. */
-    fun cancel() = end(outcome = null) { call?.cancel() }
+    fun cancel() = end(outcome = null) {
+        call?.cancel()
+        if (call?.isConnected == true) context.crashes.givenUp(this, admitted)
+    }
 
     /** Reads on, or pauses while the caller does not keep up; a paused response is not stalled. */
     fun setReading(isReading: Boolean) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RequestQuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RequestQuarantineTask.kt
@@ -22,11 +22,15 @@
     /** Called when a further request is held. */
     var onHeld: () -> Unit = {}
 
+    /** Called when crashes were added or cleared. */
+    var onChanged: () -> Unit = {}
+
     /** Repeats what is known, for gateways that have missed it, and forgets what does not matter any more. */
     suspend fun run() {
         while (true) {
             delay(REPEAT_INTERVAL)
             quarantine.expire(MonotonicTime.now())
+            onChanged()
             val crashes = quarantine.crashes
             if (crashes.isNotEmpty()) peers.broadcast(message(crashes))
         }
@@ -35,16 +39,22 @@
     /** Returns whether a request with [key] may be sent to a replica. */
     fun verdict(key: RequestKey): RequestVerdict = quarantine.verdict(key, MonotonicTime.now())
 
-    /** Returns how many crashes in a row there were with [key] so far. */
-    fun depth(key: RequestKey): Int = quarantine.depth(key)
+    /** Returns whether replicas have crashed with [key], and none like it was answered since. */
+    fun isSuspect(key: RequestKey): Boolean = quarantine.isSuspect(key)
 
-    /** Records that [incarnation] crashed at [at] with the [request] of [key], which was sent at [depth]. */
-    fun crashed(key: RequestKey, incarnation: ReplicaIncarnation, request: RequestId, at: MonotonicTime, depth: Int) =
-        add(listOf(RequestCrash(key, incarnation, request, at, depth + 1)))
+    /** Records that [incarnation] crashed at [at] with the [request] of [key], which was sent at [sentAt]. */
+    fun crashed(
+        key: RequestKey,
+        incarnation: ReplicaIncarnation,
+        request: RequestId,
+        sentAt: MonotonicTime,
+        at: MonotonicTime,
+    ) = add(listOf(RequestCrash(key, incarnation, request, at, quarantine.depth(key, incarnation, sentAt))))
 
     /** Records that a request with [key] was answered completely. */
     fun answered(key: RequestKey) {
         if (quarantine.answered(key, MonotonicTime.now())) {
+            onChanged()
             peers.broadcast(PeerMessage.RequestCrashes(emptyList(), mapOf(key.bits to 0), isGreeting = false))
         }
     }
@@ -59,7 +69,10 @@
         val cleared = message.answeredAgo.filter { (key, ago) ->
             quarantine.answered(RequestKey(key), now + (-ago).milliseconds)
         }
-        if (cleared.isNotEmpty()) peers.broadcast(PeerMessage.RequestCrashes(emptyList(), cleared, isGreeting = false))
+        if (cleared.isNotEmpty()) {
+            onChanged()
+            peers.broadcast(PeerMessage.RequestCrashes(emptyList(), cleared, isGreeting = false))
+        }
         if (message.isGreeting && quarantine.crashes.isNotEmpty()) peers.send(from, message(quarantine.crashes))
     }
 
@@ -68,7 +81,9 @@
             val wasHeld = verdict(crash.key) is RequestVerdict.Held
             quarantine.add(crash).also { if (it) logIfHeld(crash.key, wasHeld) }
         }
-        if (news.isNotEmpty()) peers.broadcast(message(news))
+        if (news.isEmpty()) return
+        onChanged()
+        peers.broadcast(message(news))
     }
 
     private fun logIfHeld(key: RequestKey, wasHeld: Boolean) {
