Store calls back off together while the store rejects them

Cause: each view repeated its call after 250 ms, without growth, jitter or a look at Retry-After; the registration and the lease called beside them.

A wait that the store asks for is kept, up to a minute. The first success releases all callers. The registration, the lease and the stored crash reports wait for the same schedule; the lease still gives up after its 600 ms. Views that wait count as failing when a probe fails, so that a gateway is not taken for served. Gauge guavapath_gateway_store_back_off_ms, counter guavapath_gateway_store_calls_failed_total.

Evidence: with the wait per view, four views made 64 calls in 4 s to a store that rejects, and 16 in 0.9 s where it asks for 1 s (StoreViewTest fails); now at most 20, and 1.

--- a/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
+++ b/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
@@ -96,8 +96,9 @@
      * The store reported that it did nothing, because it is down or temporarily refuses this VM.
      *
      * @property reason the store's response
+     * @property askedWait how long the store asks to wait before the next call, null if it does not
      */
-    public data class Refused(public val reason: String) : StoreError()
+    public data class Refused(public val reason: String, public val askedWait: Duration? = null) : StoreError()
 
     /**
      * The response is missing or unreadable. A write may have taken effect, or may still take effect later.
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/EraTrackingStore.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/EraTrackingStore.kt
@@ -20,10 +20,17 @@
 import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration
 
-/** Passes all calls to [store] and keeps the newest era that its responses, or other gateways, state. */
+/**
+ * Passes all calls to [store] at once and keeps the newest era that its responses, or other gateways, state.
+ *
+ * Callers that repeat failed calls wait for their turn of [backOff] first.
+ */
 internal class EraTrackingStore(private val store: ObjectStore, private val log: GatewayLog) : ObjectStore {
     private val newest = MutableStateFlow(StoreEra.UNKNOWN)
 
+    /** Tells when to repeat calls that failed. */
+    val backOff = StoreBackOff()
+
     /** When which revision was shown. */
     val revisionTimes = RevisionTimes()
 
@@ -39,34 +46,49 @@
 
     override suspend fun list(kind: ObjectKind): Result<Listing, StoreError> {
         val calledAt = MonotonicTime.now()
-        return tracked(store.list(kind)) { it.asOf }.onSuccess { revisionTimes.record(it.asOf, calledAt) }
+        return tracked({ store.list(kind) }) { it.asOf }.onSuccess { revisionTimes.record(it.asOf, calledAt) }
     }
 
     override suspend fun watch(kind: ObjectKind, after: Revision, timeout: Duration): Result<WatchResult, StoreError> {
         val calledAt = MonotonicTime.now()
-        return tracked(store.watch(kind, after, timeout)) { (it as? WatchResult.Changes)?.asOf }
+        return tracked({ store.watch(kind, after, timeout) }) { (it as? WatchResult.Changes)?.asOf }
             .onSuccess { result -> (result as? WatchResult.Changes)?.let { revisionTimes.record(it.asOf, calledAt) } }
     }
 
     override suspend fun read(kind: ObjectKind, name: String): Result<StoredObject?, StoreError> =
-        tracked(store.read(kind, name)) { it?.revision }
+        tracked({ store.read(kind, name) }) { it?.revision }
 
     override suspend fun create(kind: ObjectKind, name: String, value: JsonElement): Result<StoredObject, StoreError> =
-        tracked(store.create(kind, name, value)) { it.revision }
+        tracked({ store.create(kind, name, value) }) { it.revision }
 
     override suspend fun replace(
         kind: ObjectKind,
         name: String,
         value: JsonElement,
         condition: Revision,
-    ): Result<StoredObject, StoreError> = tracked(store.replace(kind, name, value, condition)) { it.revision }
+    ): Result<StoredObject, StoreError> = tracked({ store.replace(kind, name, value, condition) }) { it.revision }
 
     override suspend fun remove(kind: ObjectKind, name: String, condition: Revision): Result<Unit, StoreError> =
-        tracked(store.remove(kind, name, condition)) { null }
+        tracked({ store.remove(kind, name, condition) }) { null }
 
-    private inline fun <T> tracked(result: Result<T, StoreError>, revisionOf: (T) -> Revision?): Result<T, StoreError> =
-        result.onSuccess { value -> revisionOf(value)?.let { seen(it) } }
-            .onFailure { error -> (error as? StoreError.Conflict)?.present?.let { seen(it.revision) } }
+    private inline fun <T> tracked(
+        call: () -> Result<T, StoreError>,
+        revisionOf: (T) -> Revision?,
+    ): Result<T, StoreError> {
+        val calledAt = MonotonicTime.now()
+        return call().onSuccess { value ->
+            backOff.succeeded()
+            revisionOf(value)?.let { seen(it) }
+        }.onFailure { error ->
+            when (error) {
+                is StoreError.Refused, is StoreError.Unknown -> backOff.failed(calledAt, error)
+                is StoreError.Conflict -> {
+                    backOff.succeeded()
+                    error.present?.let { seen(it.revision) }
+                }
+            }
+        }
+    }
 
     private fun seen(revision: Revision) = update(revision.era, "revision" to revision.number)
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -98,6 +98,8 @@
         )
         telemetry.metrics.registerGauges(pool, operator, fleet)
         telemetry.metrics.gauge("guavapath.gateway.store.era") { store.era.value.number }
+        telemetry.metrics.gauge("guavapath.gateway.store.back.off.ms") { store.backOff.current.inWholeMilliseconds }
+        store.backOff.onFailed = telemetry.metrics::storeCallFailed
         viewExchange.refresh()
         views.forEach { scope.launch { it.follow() } }
         scope.launch { peers.start(scope, this@Gateway) }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.guavapath.core.results.ResultCode
+import org.guavapath.core.store.StoreError
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.logging.LogDropCounter
 import kotlin.time.Duration
@@ -48,6 +49,12 @@
         }
     }
 
+    /** Counts a call to the store that was refused, or whose response is missing or unreadable. */
+    fun storeCallFailed(error: StoreError) {
+        val isRefused = error is StoreError.Refused
+        registry.counter("guavapath.gateway.store.calls.failed", Tags.of("refused", isRefused.toString())).increment()
+    }
+
     /** Registers gauges that read the gateway's state at each scrape. */
     fun registerGauges(pool: ReplicaPool, operator: OperatorState, fleet: FleetState) {
         gauge("guavapath.gateway.replica.connections.opened") { pool.opened }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
@@ -10,7 +10,6 @@
 import org.guavapath.core.identity.Incarnation
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.store.ObjectKind
-import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.store.Revision
 import org.guavapath.core.store.StoreEra
 import org.guavapath.core.store.StoreError
@@ -44,7 +43,7 @@
 internal class Members(
     private val self: VmId,
     private val entry: MemberEntry,
-    private val store: ObjectStore,
+    private val store: EraTrackingStore,
     private val log: GatewayLog,
 ) {
     private var isRegistered = false
@@ -81,6 +80,7 @@
     /** Keeps this gateway registered. */
     suspend fun keepRegistered(current: () -> Map<String, StoredObject>) {
         while (true) {
+            if (!isRegistered) store.backOff.awaitTurn()
             if (!isRegistered && !isLeaving) register(current()[self.text])
             delay(REGISTRATION_INTERVAL)
         }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
@@ -69,7 +69,10 @@
     /** Confirms or takes over the lease if necessary; returns the fencing token, null if it cannot be used now. */
     suspend fun confirmedToken(): Long? {
         if (!isConfirmed()) {
-            withTimeoutOrNull(CONFIRMATION_TIMEOUT) { confirm() }
+            withTimeoutOrNull(CONFIRMATION_TIMEOUT) {
+                store.backOff.awaitTurn()
+                confirm()
+            }
             failedAt = if (isConfirmed()) null else MonotonicTime.now()
         }
         val isUsable = isConfirmed() && MonotonicTime.now() >= usableFrom
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -25,7 +25,8 @@
  * This VM's copy of the store's objects of one kind.
  *
  * It is listed once and watched from then on. It is listed again when the store has dropped the history, has failed or
- * has returned from an older copy, as revisions of former eras tell nothing about the history of this one.
+ * has returned from an older copy, as revisions of former eras tell nothing about the history of this one. While calls
+ * to the store fail, all views of a process together wait for the next one.
  * A gateway that follows a hub makes no calls, as the hub sends the changes. Other gateways may send a newer copy at
  * any time. The copy never goes back to an older revision.
  *
@@ -81,9 +82,11 @@
     /** Keeps the copy up to date until it is cancelled. */
     suspend fun follow() {
         while (true) {
+            isReading.first { it }
+            val isProbe = store.backOff.awaitTurn { if (isReading.value) health.failed(it.toString()) }
             when {
-                !isReading.value -> isReading.first { it }
-                asOf == Revision.NONE || asOf.era < store.era.value || health.isFailing -> list()
+                !isReading.value -> Unit
+                isProbe || asOf == Revision.NONE || asOf.era < store.era.value || health.isFailing -> list()
                 else -> watch()
             }
         }
@@ -108,9 +111,9 @@
             health.succeeded()
             val isOutdated = it.asOf < asOf || it.asOf.era < store.era.value
             if (it.asOf >= asOf) replace(it)
-            if (isOutdated) delay(RETRY_DELAY)
+            if (isOutdated) delay(OUTDATED_DELAY)
         },
-        failure = { failed(it) },
+        failure = { health.failed(it.toString()) },
     )
 
     /** Watches until there are changes, the time is over, or another call shows that the store has a later era. */
@@ -123,7 +126,7 @@
                 health.succeeded()
                 watched(it)
             },
-            failure = { failed(it) },
+            failure = { health.failed(it.toString()) },
         )
     }
 
@@ -182,14 +185,11 @@
         if (result.changes.isNotEmpty()) onChange(this)
     }
 
-    private suspend fun failed(error: StoreError) {
-        health.failed(error.toString())
-        delay(RETRY_DELAY)
-    }
-
     private companion object {
         val DEFAULT_DELAY = 20.milliseconds
         val WATCH_TIMEOUT = 20.seconds
-        val RETRY_DELAY = 250.milliseconds
+
+        /** Delay after a listing of an earlier era than is known. */
+        val OUTDATED_DELAY = 250.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoredCrashReports.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoredCrashReports.kt
@@ -59,6 +59,7 @@
     suspend fun keepSaved(merge: (List<CrashReport>) -> Collection<CrashReport>) {
         while (true) {
             requests.receive()
+            store.backOff.awaitTurn()
             if (!write(merge)) {
                 save()
                 delay(RETRY_INTERVAL)
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/MembersTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/MembersTest.kt
@@ -13,7 +13,7 @@
 
 class MembersTest {
     private val log = GatewayLog()
-    private val store = CountingStore(MemoryStore(SampleFleet("127.0.0.1:1")))
+    private val store = EraTrackingStore(CountingStore(MemoryStore(SampleFleet("127.0.0.1:1"))), log)
 
     private fun entry(vm: String) = MemberEntry("$vm:1", FailureDomainName("domain"), 1.0, Incarnation(1))
 
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
@@ -2,9 +2,13 @@
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonPrimitive
+import org.guavapath.core.identity.Incarnation
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.store.Change
 import org.guavapath.core.store.Listing
@@ -19,14 +23,24 @@
 import org.guavapath.platform.wire.StoreKinds
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class StoreViewTest {
     /** A store that fails all calls to list and watch, and counts them. */
     private class DownStore : ObjectStore by SampleStore(SampleFleet("127.0.0.1:1")) {
         var calls = 0
+        var reads = 0
+        var askedWait: Duration? = null
+
+        override suspend fun read(kind: ObjectKind, name: String): Result<StoredObject?, StoreError> {
+            reads += 1
+            return Err(StoreError.Refused("down"))
+        }
 
         override suspend fun list(kind: ObjectKind): Result<Listing, StoreError> = refused()
 
@@ -38,10 +52,15 @@
 
         private fun refused(): Result<Nothing, StoreError> {
             calls += 1
-            return Err(StoreError.Refused("down"))
+            return Err(StoreError.Refused("down", askedWait))
         }
     }
 
+    private companion object {
+        /** Time in which a view sees a change while the store responds. */
+        val PROMPT = 500.milliseconds
+    }
+
     private val store = DownStore()
     private val view = StoreView(ObjectKind("kind"), EraTrackingStore(store, GatewayLog()), GatewayLog()) {}
 
@@ -86,6 +105,67 @@
         assertEquals(true, store.calls > 0)
     }
 
+    /** Guards against views that each go on calling a store that rejects all calls, at an unchanged rate. */
+    @Test
+    fun viewsShareTheirCallsToAStoreThatRejects() = runBlocking {
+        val tracked = EraTrackingStore(store, GatewayLog())
+        val views = List(4) { StoreView(ObjectKind("kind-$it"), tracked, GatewayLog()) {} }
+        withTimeoutOrNull(4.seconds) { views.map { launch { it.follow() } }.joinAll() }
+        assertTrue(store.calls in 5..20, "${store.calls} calls")
+        assertTrue(views.none { it.isAvailable }, "views without calls of their own are not available either")
+    }
+
+    /** Guards against views that stay behind after the store's return, and against a late repeat of one lost call. */
+    @Test
+    fun allViewsFollowTheStoreSoonAfterItsReturn() {
+        data class Case(val name: String, val downtime: Duration, val timeout: Duration)
+        listOf(
+            Case("one lost call", 30.milliseconds, 500.milliseconds),
+            Case("rejections of 0.2 s", 200.milliseconds, 2.seconds),
+            Case("rejections of 3 s", 3.seconds, 2.seconds),
+        ).forEach { case ->
+            runBlocking {
+                val memory = MemoryStore(SampleFleet("127.0.0.1:1"))
+                val tracked = EraTrackingStore(CountingStore(memory), GatewayLog())
+                val kinds = List(4) { ObjectKind("kind-$it") }
+                val views = kinds.map { StoreView(it, tracked, GatewayLog()) {} }
+                val following = views.map { launch { it.follow() } }
+                delay(100.milliseconds)
+                memory.isDown = true
+                delay(case.downtime)
+                kinds.forEach { memory.write(it, "first", JsonPrimitive(1)) }
+                memory.isDown = false
+                val isBack = withTimeoutOrNull(case.timeout) { awaitObjects(views, setOf("first")) }
+                assertNotNull(isBack, "${case.name}: not all views are back")
+                kinds.forEach { memory.write(it, "second", JsonPrimitive(1)) }
+                val isPrompt = withTimeoutOrNull(PROMPT) { awaitObjects(views, setOf("first", "second")) }
+                assertNotNull(isPrompt, "${case.name}: a change is seen late once the store responds")
+                assertTrue(views.all { it.isAvailable }, case.name)
+                following.forEach { it.cancel() }
+            }
+        }
+    }
+
+    private suspend fun awaitObjects(views: List<StoreView>, names: Set<String>) {
+        while (views.any { it.objects.keys != names }) delay(10.milliseconds)
+    }
+
+    /** Guards against a call of one loop before the time that the store asked another one to wait for. */
+    @Test
+    fun aWaitThatTheStoreAsksForHoldsForAllCallers() = runBlocking {
+        val tracked = EraTrackingStore(store, GatewayLog())
+        store.askedWait = 1.seconds
+        val views = List(4) { StoreView(ObjectKind("kind-$it"), tracked, GatewayLog()) {} }
+        withTimeoutOrNull(900.milliseconds) { views.map { launch { it.follow() } }.joinAll() }
+        val lease = RolloutLease(VmId("vm"), Incarnation(1), tracked, isFirstStart = false, GatewayLog())
+        assertEquals(1, store.calls, "the others wait with the first one")
+        val reads = store.reads
+        store.askedWait = 5.seconds
+        tracked.list(ObjectKind("kind"))
+        assertNull(lease.confirmedToken())
+        assertEquals(reads, store.reads, "the lease is not read")
+    }
+
     /** Guards against listing without a pause while the store's responses are of an earlier era than is known. */
     @Test
     fun aStoreThatStatesAnEarlierEraIsListedNowAndThen() = runBlocking {
