Requests whose time is over or whose caller has left are not sent

Cause: each send relied on the deadline's timer and on the caller's connection having been read before. A loop that was late (a frozen gateway, or one short of processor time) handles what arrived before its timers, and connections in no order. So a request was sent when its bytes were read late with its caller's close behind them, when a connection to its replica opened, or when a permit arrived. Nothing looked at the deadline of a plain request at its first send, also not when its body came late or it had waited behind another request of its connection.

Now a request is sent, or sent on, after the loop has read from all connections once more, and only if its caller is there and 5 ms are left; otherwise it is refused as not run. The same look stands where a new connection opens, as it may take long. A request that was too late tells nothing about its replica.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -88,6 +88,7 @@
             admitted.request.id,
             if (admitted.route.retryPolicy.mayRunAgain) RETRYABLE_MAX_IDLE else NON_RETRYABLE_MAX_IDLE,
             context.maxConnectionsFor(admitted.service),
+            admitted.dueAt,
         )
         call = context.pool.send(request, this)
         if (hasEnded) call?.cancel()
@@ -103,8 +104,8 @@
         if (!isReading) timer.stop() else if (progress.bodyBytes > 0) timer.restart(STALL_TIMEOUT)
     }
 
-    override fun notSent(reason: String) =
-        end(ReplicaOutcome.UNRESPONSIVE) { onEvent(this, AttemptEvent.NotSent(reason)) }
+    override fun notSent(reason: String, isLate: Boolean) =
+        end(ReplicaOutcome.UNRESPONSIVE.takeIf { !isLate }) { onEvent(this, AttemptEvent.NotSent(reason)) }
 
     override fun head(head: ReplicaResponseHead, headers: HttpHeaders) {
         if (hasEnded) return
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -48,12 +48,26 @@
     /** Whether the request has ended and is not sent any more. */
     var isOver = false
 
-    /** Sends the request, at once or soon, to the best replica not yet tried that takes it, or refuses it. */
-    fun sendNext() {
+    /** Sends the request, soon, to the best replica not yet tried that takes it, or refuses it. */
+    fun sendNext() = ifStillWanted {
         val refusal = quarantine.beforeSend { isTrial = true }
         if (refusal != null) onRefused(refusal) else sendToBest()
     }
 
+    /**
+     * Calls [then] soon, if the caller still waits and the request can begin in time; otherwise refuses the request.
+     *
+     * A loop that is late handles responses before timers, and in no order among connections.
+     */
+    private fun ifStillWanted(then: () -> Unit) = context.loop.afterNextPoll {
+        when {
+            isOver -> Unit
+            admitted.dueAt - MonotonicTime.now() < MIN_TIME_TO_BEGIN ->
+                onRefused(Refusal(DispatchCode.DeadlinePassed, "no time is left"))
+            else -> then()
+        }
+    }
+
     private fun sendToBest() {
         val owner = admitted.workspace?.takeIf { it.isIsolated }?.name
         val placementRequest = PlacementRequest(
@@ -84,8 +98,8 @@
             }
             when {
                 isOver -> Unit
-                decision is PermitDecision.Granted -> send(result)
-                else -> sendToBest()
+                decision is PermitDecision.Granted -> ifStillWanted { send(result) }
+                else -> ifStillWanted { sendToBest() }
             }
         }
     }
@@ -153,6 +167,9 @@
     private companion object {
         val MIN_TIME_FOR_RETRY = 50.milliseconds
 
+        /** A request takes a few milliseconds to its replica. */
+        val MIN_TIME_TO_BEGIN = 5.milliseconds
+
         /** The replica list is up to date within two seconds of an address change. */
         val MISDIRECTION_BACKOFF = 2000.milliseconds
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -21,8 +21,12 @@
 
 /** Receives the response to one request to a replica. All calls are made on the event loop. */
 internal interface ReplicaResponseListener {
-    /** The request could not be sent; the replica has received no byte of it. */
-    fun notSent(reason: String)
+    /**
+     * The request could not be sent; the replica has received no byte of it.
+     *
+     * @param isLate whether there was no time left, which tells nothing about the replica
+     */
+    fun notSent(reason: String, isLate: Boolean = false)
 
     /** The head of the response was received. */
     fun head(head: ReplicaResponseHead, headers: HttpHeaders)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaControlClient.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaControlClient.kt
@@ -69,7 +69,7 @@
         private val body = BodyBuffer()
         private var status = 0
 
-        override fun notSent(reason: String) {
+        override fun notSent(reason: String, isLate: Boolean) {
             result.complete(Err(CallFailure.NotSent(reason)))
         }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
@@ -134,11 +134,7 @@
         }
         connecting.addListener { future ->
             when {
-                future.isSuccess && call.attach(connection) -> connection.send(request.http, request.id, listener)
-                future.isSuccess -> {
-                    request.http.release()
-                    connection.close()
-                }
+                future.isSuccess -> loop.afterNextPoll { sendFirst(connection, request, listener, call) }
                 else -> {
                     request.http.release()
                     if (!call.isCancelled) listener.notSent("no connection: ${future.cause()?.message}")
@@ -147,6 +143,20 @@
         }
     }
 
+    /** Sends [request] on the new [connection] unless it is not wanted any more. */
+    private fun sendFirst(
+        connection: ReplicaConnection,
+        request: ReplicaRequest,
+        listener: ReplicaResponseListener,
+        call: PooledCall,
+    ) {
+        val isOnTime = request.sendBy?.let { MonotonicTime.now() < it } ?: true
+        if (call.attach(connection) && isOnTime) return connection.send(request.http, request.id, listener)
+        request.http.release()
+        connection.close()
+        if (!call.isCancelled) listener.notSent("no time is left", isLate = true)
+    }
+
     private fun recycle(
         replica: ReplicaId,
         pooled: ConnectionSet,
