--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetLease.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetLease.kt
@@ -128,20 +128,20 @@
         if (written?.value == null) return written != null
         knownHolder = FleetHolder(self, next.token)
         confirmedAt = calledAt.takeIf { next.token.era >= written.era }
-        val isOfFormerProcess = former?.vm == self && former.incarnation != incarnation &&
-            former.token == highest && highest.era >= written.era
-        val isRenewal = former != null && isOfThisProcess(former) && former.token.era >= written.era
-        usableFrom = when {
-            isRenewal -> usableFrom
-            isFirst -> calledAt
-            isOfFormerProcess -> startedAt + HANDOVER_DELAY
-            else -> calledAt + HANDOVER_DELAY
-        }
+        val ofThisEra = former?.takeIf { it.token.era >= written.era }
+        usableFrom = if (isFirst) calledAt else usableAfter(ofThisEra, calledAt, highest)
         tokenTargets = targets
         onEvent("takes the lease with token ${next.token} from ${former?.vm}")
         return true
     }
 
+    /** Returns when a lease that was taken at [calledAt] is usable; [former] is the one before, if of this era. */
+    private fun usableAfter(former: StoredLease?, calledAt: MonotonicTime, highest: FencingToken) = when {
+        former != null && isOfThisProcess(former) -> usableFrom
+        former?.vm == self && former.token == highest -> startedAt + HANDOVER_DELAY
+        else -> calledAt + HANDOVER_DELAY
+    }
+
     private suspend fun <T> call(
         end: MonotonicTime,
         start: (answer: (StoreAnswer<T>) -> Unit) -> Unit,
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoredRolloutLease.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoredRolloutLease.kt
@@ -47,8 +47,10 @@
     val era: StoreEra get() = store.era.value
 
     /** Returns the lease, null if none was taken yet. */
-    suspend fun read(): Result<ReadLease?, StoreError> = withTimeout { store.read(LEASES, LEASE) }
-        .map { stored -> stored?.let { ReadLease(decode(it.value), it.revision) } }
+    suspend fun read(): Result<ReadLease?, StoreError> = withTimeout {
+        store.backOff.awaitTurn()
+        store.read(LEASES, LEASE)
+    }.map { stored -> stored?.let { ReadLease(decode(it.value), it.revision) } }
 
     /** Replaces the lease if its last change is that of [revision], null if it does not exist; returns the new one. */
     suspend fun write(record: LeaseRecord, revision: Revision?): Result<Revision, StoreError> {
