--- a/core/src/main/kotlin/org/guavapath/core/placement/ReplicaWeights.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/ReplicaWeights.kt
@@ -69,18 +69,21 @@
      * Records that the replica has weights [number] of [model]; returns whether other ones were known.
      *
      * Older ones count only if the replica itself states them, unless newer ones have just become known: a response
-     * that began before a load may arrive after the message about its end.
+     * that began before a load may arrive after the message about its end. They never count against the list entry,
+     * which the replica writes again if it is wrong.
      */
     public fun record(model: ModelName, number: WeightsNumber, source: WeightsSource, now: MonotonicTime): Boolean {
         val before = number(model)
         val isOlder = before != null && number < before
-        val counts = !isOlder || source == WeightsSource.Replica && !isRecent(model, now)
+        val counts = !isOlder || source == WeightsSource.Replica && isOldKnowledge(model, now)
         if (counts && (number != before || known[model] != null)) known[model] = KnownWeights(number, source, now)
+        val entry = listed[model]
+        if (entry != null && number <= entry && counts) known.remove(model)
         return counts && number != before
     }
 
-    private fun isRecent(model: ModelName, now: MonotonicTime) =
-        known[model]?.let { now - it.at < RESPONSE_DELAY } ?: false
+    private fun isOldKnowledge(model: ModelName, now: MonotonicTime) =
+        known[model]?.let { now - it.at >= RESPONSE_DELAY } ?: false
 
     /** Holds the times that bound how often replicas are asked. */
     public companion object {
--- a/core/src/main/kotlin/org/guavapath/core/weights/HolderFitness.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/HolderFitness.kt
@@ -26,6 +26,7 @@
 /** Decides whether the holder of the rollout lease should leave it to another VM. */
 public class HolderFitness {
     private val failingSince = HashMap<ReplicaId, MonotonicTime>()
+    private var late = Duration.ZERO
     private var lag = Duration.ZERO
     private var complainedAt: MonotonicTime? = null
     private var patience = PATIENCE
@@ -46,9 +47,21 @@
         failingSince.putIfAbsent(replica, now)
     }
 
-    /** Records that this VM did periodic work [late] after it was due. */
+    /** Records that this VM did periodic work [late] after it was due; a single pause does not count. */
     public fun ticked(late: Duration) {
-        lag += (late - lag) * LAG_WEIGHT
+        lag = minOf(this.late, late)
+        this.late = late
+    }
+
+    /** Forgets the failures, as this VM does not hold the lease. */
+    public fun notHolding() {
+        failingSince.clear()
+    }
+
+    /** Records that a holder that did not get its orders through has invited this VM: others may not either. */
+    public fun invited(now: MonotonicTime) {
+        patience = INVITED_PATIENCE
+        complainedAt = now
     }
 
     /**
@@ -58,11 +71,11 @@
      * have no effect.
      */
     public fun complaint(now: MonotonicTime): Unfitness? {
-        if (complainedAt.let { it != null && now - it < patience }) return null
-        val failing = failingSince.entries.firstOrNull { now - it.value > PATIENCE }?.key
+        val sinceLast = complainedAt?.let { now - it } ?: Duration.INFINITE
+        val failing = failingSince.entries.firstOrNull { now - it.value > patience }?.key
         val complaint = when {
-            lag > MAX_LAG -> Unfitness.Slow(lag)
-            failing != null -> Unfitness.Unreachable(failing)
+            lag > MAX_LAG && sinceLast >= PATIENCE -> Unfitness.Slow(lag)
+            failing != null && sinceLast >= patience -> Unfitness.Unreachable(failing)
             else -> null
         }
         if (complaint != null) {
@@ -75,10 +88,10 @@
     private companion object {
         /** Replicas that crashed are gone from the list a little later. */
         val PATIENCE = 3.seconds
+        val INVITED_PATIENCE = 12.seconds
         val MAX_PATIENCE = 24.seconds
 
         /** An order takes three calls one after the other, each of which is late by as much. */
         val MAX_LAG = 200.milliseconds
-        const val LAG_WEIGHT = 0.5
     }
 }
--- a/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/Rollout.kt
@@ -69,7 +69,7 @@
     private class Attempt(val order: WeightsOrder, val startedAt: MonotonicTime)
 
     /** Orders in a row that failed. */
-    private class Failures(val model: ModelName?, val count: Int, val retryAt: MonotonicTime)
+    private class Failures(val order: WeightsOrder?, val wasSent: Boolean, val count: Int, val retryAt: MonotonicTime)
 
     private val active = HashMap<ReplicaId, Attempt>()
     private val failures = HashMap<ReplicaId, Failures>()
@@ -104,7 +104,7 @@
             .take(maxOf(0, most - loading.size))
         return (unusable + next).map { replica ->
             val isLate = ages.getValue(replica.id) + expected > usableFor
-            val isRepeated = replica.id in failures
+            val isRepeated = failures[replica.id].let { it != null && it.wasSent && it.order?.target == target }
             val time = if (isLate || isRepeated) LoadTime.AtOnce else LoadTime.AfterRequests
             WeightsOrder(replica.id, model, target, time).also { active[replica.id] = Attempt(it, now) }
         }
@@ -129,14 +129,20 @@
         }
     }
 
-    /** Records that the order for [replica] ended; if it failed, it is retried after a delay. */
-    public fun ended(replica: ReplicaId, isDone: Boolean, now: MonotonicTime) {
+    /**
+     * Records that the order for [replica] ended; if it failed, it is retried after a delay.
+     *
+     * @param wasSent whether the replica may have received it
+     */
+    public fun ended(replica: ReplicaId, isDone: Boolean, now: MonotonicTime, wasSent: Boolean = true) {
         val attempt = active.remove(replica)
         if (isDone) {
             failures.remove(replica)
         } else {
+            val before = failures[replica]
+            val wasSentBefore = before != null && before.wasSent && before.order?.target == attempt?.order?.target
             failures[replica] =
-                Failures(attempt?.order?.model, (failures[replica]?.count ?: 0) + 1, now + RETRY_DELAY)
+                Failures(attempt?.order, wasSent || wasSentBefore, (before?.count ?: 0) + 1, now + RETRY_DELAY)
         }
         if (isDone && attempt != null) {
             val model = attempt.order.model
@@ -144,9 +150,10 @@
         }
     }
 
-    /** Records that the order for [replica] was not sent. */
-    public fun notSent(replica: ReplicaId) {
+    /** Records that the order for [replica] was not sent, as it [hasWeights] already or the lease cannot be used. */
+    public fun notSent(replica: ReplicaId, hasWeights: Boolean) {
         active.remove(replica)
+        if (hasWeights) failures.remove(replica)
     }
 
     private fun removeStale(model: ModelName, replicas: List<RolloutReplica>, now: MonotonicTime) {
@@ -154,7 +161,7 @@
         active.values.removeIf {
             it.order.model == model && it.order.replica !in present || now - it.startedAt > ORDER_TIMEOUT
         }
-        failures.entries.removeIf { (replica, failed) -> failed.model == model && replica !in present }
+        failures.entries.removeIf { (replica, failed) -> failed.order?.model == model && replica !in present }
     }
 
     /**
--- a/core/src/main/kotlin/org/guavapath/core/weights/RolloutCandidacy.kt
+++ b/core/src/main/kotlin/org/guavapath/core/weights/RolloutCandidacy.kt
@@ -59,6 +59,7 @@
     ): Boolean {
         val isSettled = isSettled(now) || isAlone
         val eligible = eligible(others, now)
+        if (holder == self) invitedUntil = MonotonicTime.ZERO
         return when {
             holder == self || now < invitedUntil -> true
             holder in eligible || !isSettled -> false
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetGateway.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetGateway.kt
@@ -167,7 +167,7 @@
                 decisions.replicasToAsk(
                     now
                 ).forEach { process.launch { loader.report(it, FleetLoader.REPORT_TIMEOUT) } }
-                val invited = decisions.successor(targets, holderStates(), now)
+                val invited = decisions.successor(targets, holderStates(), holder == vm, now)
                 if (invited != null) context.peers.send(invited, FleetMessage.Invitation)
                 targets.newestOfAll().keys.forEach { step(it) }
             }
@@ -212,7 +212,7 @@
         val outcome = if (replica == null) {
             FleetOutcome.FAILED
         } else {
-            loader.load(order, replica, targets.newestOfAll()) {
+            loader.load(order, replica, targets::newestOfAll) {
                 isAnnounced = true
                 announce(order, FleetLoader.LOADING_PERIOD)
             }
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetLease.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetLease.kt
@@ -71,7 +71,7 @@
             if (!hasAnswer && !isFailing) onEvent("cannot confirm the lease")
             failedAt = if (hasAnswer) null else now
         }
-        val isUsable = isConfirmed && now >= usableFrom
+        val isUsable = isConfirmed && isTokenOf(targets) && now >= usableFrom
         return knownHolder?.takeIf { it.vm == self && isUsable }?.token
     }
 
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetLoader.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetLoader.kt
@@ -31,16 +31,17 @@
     suspend fun load(
         order: WeightsOrder,
         replica: Replica,
-        targets: Map<ModelName, WeightsNumber>,
+        targets: () -> Map<ModelName, WeightsNumber>,
         onLoading: () -> Unit,
     ): FleetOutcome {
         val before = report(replica, REPORT_TIMEOUT)
         val isLoaded = before != null && !before.isLoading && hasTarget(before, order)
         val isNeeded = before != null && !before.isLoading && !isLoaded
-        val token = if (isNeeded) lease.confirmedToken(targets, mayTake = false) else null
+        val token = if (isNeeded) lease.confirmedToken(targets(), mayTake = false) else null
+        val isOutdated = targets()[order.model] != order.target
         return when {
             isLoaded -> FleetOutcome.CONFIRMED
-            before == null || token == null -> {
+            before == null || token == null || isOutdated -> {
                 onEvent(order, "is not ordered: ${reasonNotToOrder(before)}")
                 if (before == null) FleetOutcome.WITHOUT_EFFECT else FleetOutcome.FAILED
             }
--- a/core/src/test/kotlin/org/guavapath/core/weights/RolloutDecisions.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/RolloutDecisions.kt
@@ -70,7 +70,12 @@
     fun ticked(late: Duration)
 
     /** Returns the gateway to invite to hold the lease, as this one does not get its orders through; null if none. */
-    fun successor(targets: TargetWeights, others: Map<VmId, HolderState>, now: MonotonicTime): VmId?
+    fun successor(
+        targets: TargetWeights,
+        others: Map<VmId, HolderState>,
+        isHolding: Boolean,
+        now: MonotonicTime,
+    ): VmId?
 
     /** Records that the holder has invited this gateway. */
     fun invited(now: MonotonicTime)
@@ -132,10 +137,10 @@
     }
 
     override fun ended(order: WeightsOrder, outcome: FleetOutcome, now: MonotonicTime) {
-        if (outcome == FleetOutcome.CONFIRMED) {
-            rollout.notSent(order.replica)
-        } else {
-            rollout.ended(order.replica, outcome == FleetOutcome.DONE, now)
+        when (outcome) {
+            FleetOutcome.CONFIRMED -> rollout.notSent(order.replica, hasWeights = true)
+            FleetOutcome.FAILED -> rollout.ended(order.replica, isDone = false, now, wasSent = false)
+            else -> rollout.ended(order.replica, outcome == FleetOutcome.DONE, now)
         }
         when (outcome) {
             FleetOutcome.DONE, FleetOutcome.CONFIRMED -> fitness.succeeded(order.replica)
@@ -144,7 +149,7 @@
         }
     }
 
-    override fun notSent(order: WeightsOrder) = rollout.notSent(order.replica)
+    override fun notSent(order: WeightsOrder) = rollout.notSent(order.replica, hasWeights = false)
 
     override fun isCandidate(
         holder: VmId?,
@@ -155,12 +160,21 @@
 
     override fun ticked(late: Duration) = fitness.ticked(late)
 
-    override fun successor(targets: TargetWeights, others: Map<VmId, HolderState>, now: MonotonicTime): VmId? {
+    override fun successor(
+        targets: TargetWeights,
+        others: Map<VmId, HolderState>,
+        isHolding: Boolean,
+        now: MonotonicTime,
+    ): VmId? {
+        if (!isHolding) fitness.notHolding()
         val isBehind = RolloutProgress.of(targets, replicas.all, now).behind > 0
         return if (isBehind && fitness.complaint(now) != null) candidacy.successor(others, now) else null
     }
 
-    override fun invited(now: MonotonicTime) = candidacy.invited(now)
+    override fun invited(now: MonotonicTime) {
+        fitness.invited(now)
+        candidacy.invited(now)
+    }
 
     override fun describe(replica: ReplicaId, model: ModelName, now: MonotonicTime): String {
         val record = replicas[replica] ?: return "not listed"
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -92,7 +92,8 @@
         val replica = result.chosen.record.entry
         val rate = context.fleet.rates.rate(replica.incarnation) ?: return send(result)
         context.permits.request(replica) { decision ->
-            context.telemetry.metrics.permitDecided(decision is PermitDecision.Granted)
+            val isGranted = decision is PermitDecision.Granted
+            context.telemetry.metrics.count("guavapath.gateway.permits", "granted", isGranted.toString())
             if (decision is PermitDecision.Denied) {
                 context.telemetry.log.permitDenied(admitted, replica.id, rate, decision)
             }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -170,7 +170,7 @@
             is PeerMessage.RequestCrashes -> requestQuarantine.received(from, message)
             is PeerMessage.OfRates -> permits.received(from, message)
             is PeerMessage.OfTargets -> targetAges.received(from, message)
-            is PeerMessage.RolloutInvitation -> candidates.invited()
+            is PeerMessage.RolloutInvitation -> rollout.invited()
             is PeerMessage.OfRollout -> {
                 rolloutMessages.received(from, message)
                 exchange.relay(from, message)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
@@ -24,9 +24,9 @@
         registry.counter("guavapath.gateway.refused", codeTags(code)).increment()
     }
 
-    /** Counts the answer to a question for a permit. */
-    fun permitDecided(isGranted: Boolean) {
-        registry.counter("guavapath.gateway.permits", Tags.of("granted", isGranted.toString())).increment()
+    /** Counts an event of the counter [name], with [value] of its label [label]. */
+    fun count(name: String, label: String, value: String) {
+        registry.counter(name, Tags.of(label, value)).increment()
     }
 
     /** Counts an attempt that ended with the crash of its replica, by how much of its response had arrived. */
@@ -39,11 +39,6 @@
         registry.counter("guavapath.gateway.attempts.cut.off.by.crash", Tags.of("arrived", arrived)).increment()
     }
 
-    /** Counts an order to load weights by its [outcome]. */
-    fun weightsOrdered(outcome: LoadOutcome) {
-        registry.counter("guavapath.gateway.weights.orders", Tags.of("outcome", outcome.name.lowercase())).increment()
-    }
-
     /** Records a request that ended and its duration. */
     fun ended(code: ResultCode, admitted: AdmittedRequest, firstEventAt: MonotonicTime?) {
         val tags = codeTags(code).and("route", admitted.route.name)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutCandidates.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutCandidates.kt
@@ -32,8 +32,7 @@
         return successor
     }
 
-    /** Records that the holder of the rollout lease has invited this gateway to take it. */
-    fun invited() = candidacy.invited(MonotonicTime.now())
+    override fun invited() = candidacy.invited(MonotonicTime.now())
 
     override fun broadcast(message: PeerMessage) = exchange.broadcast(message)
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutLease.kt
@@ -68,6 +68,9 @@
 
     private val isConfirmed: Boolean get() = confirmation?.isValid ?: false
 
+    /** Whether this gateway holds the lease as far as it knows. */
+    val isHeld: Boolean get() = knownHolder?.vm == self
+
     /** Time since the call that confirmed the lease last was made, null if it is not confirmed. */
     val confirmationAge: Duration? get() = confirmation?.let { MonotonicTime.now() - it.at }
 
@@ -108,7 +111,7 @@
                 failedAt = if (confirm(mayTake)) null else MonotonicTime.now()
             }
         }
-        val isUsable = isConfirmed && MonotonicTime.now() >= usableFrom
+        val isUsable = isConfirmed && isTokenOf(targets) && MonotonicTime.now() >= usableFrom
         return knownHolder?.takeIf { it.vm == self && isUsable }?.fencingToken
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
@@ -7,7 +7,6 @@
 import org.guavapath.core.fleet.ServiceName
 import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.VmId
-import org.guavapath.core.placement.ReplicaRecord
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.core.weights.HolderFitness
 import org.guavapath.core.weights.Rollout
@@ -26,6 +25,9 @@
     /** Invites another gateway to take the lease; returns it, null if there is none. */
     fun inviteSuccessor(): VmId?
 
+    /** Records that the holder has invited this gateway. */
+    fun invited()
+
     fun broadcast(message: PeerMessage)
 }
 
@@ -64,6 +66,12 @@
         }
     }
 
+    /** Records that the holder of the lease has invited this gateway to take it. */
+    fun invited() {
+        fitness.invited(MonotonicTime.now())
+        peers.invited()
+    }
+
     private suspend fun measureLag() {
         while (true) {
             val pausedAt = MonotonicTime.now()
@@ -74,6 +82,7 @@
 
     /** Invites another gateway to take the lease if this one does not bring all replicas to their targets. */
     private fun inviteIfUnfit() {
+        if (!lease.isHeld) fitness.notHolding()
         val isBehind = RolloutProgress.of(fleet.weights, fleet.replicas.all, MonotonicTime.now()).behind > 0
         val complaint = (if (isBehind) fitness.complaint(MonotonicTime.now()) else null) ?: return
         telemetry.log.stateChange(
@@ -96,28 +105,25 @@
         serving += fleet.replicas.all.filter { it.weights(model) != null }.map { it.entry.service }
         val replicas = fleet.replicas.all.filter { !it.entry.isDraining && it.entry.service in serving }
         fitness.retain(fleet.replicas.all.map { it.entry.id }.toSet())
-        val orders = rollout.next(model, fleet.weights, replicas.map { state(it, model, now) }, now)
+        val states = replicas.map {
+            val weights = it.modelWeights.confirmed(model, now)
+            RolloutReplica(it.entry.id, weights, it.load(now).requests, it.loadingUntil > now)
+        }
+        val orders = rollout.next(model, fleet.weights, states, now)
         if (orders.isEmpty()) return
         if (lease.confirmedToken(fleet.weights.newestOfAll()) == null) {
-            orders.forEach { rollout.notSent(it.replica) }
+            orders.forEach { rollout.notSent(it.replica, hasWeights = false) }
         } else {
             orders.forEach { order -> scope.launch { execute(order) } }
         }
     }
 
-    private fun state(record: ReplicaRecord, model: ModelName, now: MonotonicTime) = RolloutReplica(
-        record.entry.id,
-        record.modelWeights.confirmed(model, now),
-        record.load(now).requests,
-        record.loadingUntil > now,
-    )
-
     private suspend fun execute(order: WeightsOrder) {
         var outcome = LoadOutcome.FAILED
         try {
             val replica = fleet.replicas[order.replica]?.entry ?: return
             var isAnnounced = false
-            outcome = loader.load(order, replica, fleet.weights.newestOfAll()) {
+            outcome = loader.load(order, replica, fleet.weights::newestOfAll) {
                 isAnnounced = true
                 announce(order, WeightsLoader.LOADING_PERIOD)
             }
@@ -144,11 +150,12 @@
 
     private fun ended(order: WeightsOrder, outcome: LoadOutcome) {
         val now = MonotonicTime.now()
-        telemetry.metrics.weightsOrdered(outcome)
+        telemetry.metrics.count("guavapath.gateway.weights.orders", "outcome", outcome.name.lowercase())
         when (outcome) {
             LoadOutcome.DONE -> rollout.ended(order.replica, isDone = true, now)
-            LoadOutcome.CONFIRMED -> rollout.notSent(order.replica)
-            LoadOutcome.FAILED, LoadOutcome.WITHOUT_EFFECT -> rollout.ended(order.replica, isDone = false, now)
+            LoadOutcome.CONFIRMED -> rollout.notSent(order.replica, hasWeights = true)
+            LoadOutcome.WITHOUT_EFFECT -> rollout.ended(order.replica, isDone = false, now)
+            LoadOutcome.FAILED -> rollout.ended(order.replica, isDone = false, now, wasSent = false)
             LoadOutcome.FENCED -> {
                 rollout.ended(order.replica, isDone = false, now)
                 lease.fenced()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/WeightsLoader.kt
@@ -61,13 +61,13 @@
     /**
      * Sends [order] to [replica], with a token that is confirmed right before, unless it has the weights already.
      *
-     * @param targets the newest target weights of all models
+     * @param targets returns the newest target weights of all models
      * @param onLoading called right before, and again while the replica loads, at least once in [LOADING_PERIOD]
      */
     suspend fun load(
         order: WeightsOrder,
         replica: Replica,
-        targets: Map<ModelName, WeightsNumber>,
+        targets: () -> Map<ModelName, WeightsNumber>,
         onLoading: () -> Unit,
     ): LoadOutcome {
         val askedAt = MonotonicTime.now()
@@ -75,10 +75,12 @@
         val isLoaded = before != null && !before.isLoading && hasTarget(before, order)
         val isNeeded = before != null && !before.isLoading && !isLoaded
         // Confirmed after the report, which may take as long as a confirmation is valid.
-        val token = if (isNeeded) lease.confirmedToken(targets, mayTake = false) else null
+        val token = if (isNeeded) lease.confirmedToken(targets(), mayTake = false) else null
+        // The token of a newer target would let a late order for this one pass.
+        val isOutdated = targets()[order.model] != order.target
         return when {
             isLoaded -> LoadOutcome.CONFIRMED
-            before == null || token == null -> {
+            before == null || token == null || isOutdated -> {
                 log.stateChange(
                     "weights not ordered",
                     "replica" to replica.id.text,
@@ -101,7 +103,7 @@
     private fun reasonNotToOrder(before: ReplicaReport?): String = when {
         before == null -> "no report"
         before.isLoading -> "another order is in progress"
-        else -> "the lease is not confirmed"
+        else -> "the lease is not confirmed, or a newer target is named"
     }
 
     private suspend fun awaitOutcome(
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
@@ -157,7 +157,8 @@
         store.askedWait = 1.seconds
         val views = List(4) { StoreView(ObjectKind("kind-$it"), tracked, GatewayLog()) {} }
         withTimeoutOrNull(900.milliseconds) { views.map { launch { it.follow() } }.joinAll() }
-        val lease = RolloutLease(VmId("vm"), Incarnation(1), tracked, isFirstStart = false, GatewayLog())
+        val stored = StoredRolloutLease(tracked, GatewayLog())
+        val lease = RolloutLease(VmId("vm"), Incarnation(1), stored, isFirstStart = false, GatewayLog())
         assertEquals(1, store.calls, "the others wait with the first one")
         val reads = store.reads
         store.askedWait = 5.seconds
