--- a/review/common/Gateway.java
+++ b/review/common/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** One process of the deploy file's role, with the settings that its template gives for the site atf-rs. */
@@ -86,11 +87,16 @@
         return log.toFile();
     }
 
+    /** A free port below those that the system gives to outgoing channels, so that none of these takes it meanwhile. */
     private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        } catch (IOException failure) {
-            throw new IllegalStateException(failure);
+        for (int i = 0; i < 200; i++) {
+            int port = ThreadLocalRandom.current().nextInt(20_000, 32_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (IOException taken) {
+                continue;
+            }
         }
+        throw new IllegalStateException("no free port");
     }
 }
