--- a/review/common/Site.java
+++ b/review/common/Site.java
@@ -12,14 +12,15 @@
     public static final String MODEL = "model-1";
     public final Record record = new Record();
     public final Store store;
-    public final boolean isTrouble = !"0".equals(System.getenv("TROUBLE"));
+    public final boolean isTrouble;
     private final Path root;
     private final Path folder;
     private final Path work;
     private final List<Replica> replicas = new ArrayList<>();
     private final List<Gateway> gateways = new ArrayList<>();
 
-    public Site(String folder) throws IOException {
+    public Site(String folder, boolean isTrouble) throws IOException {
+        this.isTrouble = isTrouble;
         this.folder = Path.of(folder).toAbsolutePath();
         root = this.folder.getParent().getParent();
         work = Files.createTempDirectory("review");
@@ -71,17 +72,22 @@
         record.add("operator: manifest " + version + " acknowledged " + Json.write(tenants));
     }
 
-    /** Ends the script with exit code 2. */
+    /** Ends the script: a part did not start, or the disruption did not take effect. */
     public void notRun(String reason) {
-        record.add("NOT RUN: " + reason);
-        end(2, reason);
+        end(Launch.NOT_RUN, "not run: " + reason);
     }
 
-    /** Writes the record and ends the script. */
-    public void end(int status, String result) {
+    /** Ends the script with what the check of the record says. */
+    public void judged(boolean isBroken, String result) {
+        end(isBroken ? Launch.BROKEN : Launch.HELD, result);
+    }
+
+    private void end(int status, String result) {
         record.add("result: " + result);
         for (Gateway gateway : gateways) gateway.process.destroyForcibly();
         for (Gateway gateway : gateways) keepLog(gateway);
+        boolean areGone = gateways.stream().noneMatch(gateway -> gateway.process.isAlive());
+        record.add(areGone ? "all " + gateways.size() + " processes that were started have ended" : "a process is left");
         record.write(folder.resolve("record.txt"));
         System.out.println(result);
         System.out.flush();
