Log lines and a counter for requests that end without a whole answer

Nothing told why a caller's connection ended with requests that had been read, nor what became of running requests when the process ended, nor that an attempt had fallen silent unless the request was sent again. New: 'requests unanswered' with its counter by cause, 'attempt silent'. No change of behaviour.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
@@ -25,30 +25,16 @@
     private val context: ExchangeContext,
     private val operator: OperatorState,
 ) : RequestHandler {
-    private val connections = HashSet<CallerConnection>()
-
-    override var isDraining = false
-        private set
-
+    override val connections = CallerConnections()
     override val callerLimits: CallerLimits get() = operator.configuration?.callerLimits ?: STARTUP_CALLER_LIMITS
 
-    override fun connectionOpened(connection: CallerConnection) {
-        connections.add(connection)
-    }
-
-    override fun connectionClosed(connection: CallerConnection) {
-        connections.remove(connection)
-    }
-
-    /** Starts draining: every connection closes after its current request. */
-    fun drain() {
-        isDraining = true
-    }
-
-    /** Closes connections without a request and returns the number of open ones. */
-    fun closeIdle(): Int {
-        connections.toList().forEach { it.closeIfIdle() }
-        return connections.size
+    override fun leftUnanswered(unanswered: UnansweredRequests) {
+        val ids = unanswered.requests.map { request ->
+            RequestCodec.decode({ request.headers.get(it) }, request.receivedAt).getOrElse { null }?.id?.text
+        }
+        val version = operator.configuration?.version
+        context.telemetry.log.unanswered(unanswered, ids, version, operator.configuredAt)
+        context.telemetry.metrics.count("guavapath.gateway.unanswered", "end", unanswered.end.name.lowercase())
     }
 
     override fun serve(request: IncomingRequest, sink: ResponseSink): RunningExchange? = try {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerConnection.kt
@@ -15,24 +15,23 @@
 import org.guavapath.daemon.pipeline.Refusal
 import java.util.concurrent.TimeUnit
 
-/** Limit of pipelined requests that wait behind the current one. */
-private const val MAX_PIPELINED_REQUESTS = 8
-
 /** Handles the requests of callers' connections. */
 internal interface RequestHandler {
     val callerLimits: CallerLimits
-    val isDraining: Boolean
+    val connections: CallerConnections
 
     /** Starts serving [request]; returns the exchange to notify of connection events, null if it has ended. */
     fun serve(request: IncomingRequest, sink: ResponseSink): RunningExchange?
 
-    fun connectionOpened(connection: CallerConnection)
-
-    fun connectionClosed(connection: CallerConnection)
+    /** Records requests that were read and that the caller has no whole response to. */
+    fun leftUnanswered(unanswered: UnansweredRequests)
 }
 
 /** A request that is being served. */
 internal interface RunningExchange {
+    /** How far the request is. */
+    val progress: ExchangeProgress
+
     /** Called when the caller has closed its connection; cancels the work on the request. */
     fun callerDisconnected()
 
@@ -40,78 +39,57 @@
     fun callerWritable()
 }
 
-/** One connection of a caller. Requests are served one at a time; later ones are read meanwhile and queued. */
+/** One connection of a caller. While a request is served, later ones are read and queued. */
 internal class CallerConnection(private val handler: RequestHandler) : SimpleChannelInboundHandler<HttpObject>() {
     private val reader = RequestReader { handler.callerLimits.bodyBytes }
-    private val queue = ArrayDeque<IncomingRequest>()
-    private var serving: IncomingRequest? = null
-    private var exchange: RunningExchange? = null
     private var lastActiveAt = MonotonicTime.now()
-    private var isClosing = false
+    private var end = ConnectionEnd.DISCONNECTED
     private lateinit var channel: Channel
-    private lateinit var writer: ResponseWriter
+    private lateinit var requests: CallerRequests
 
     override fun channelActive(context: ChannelHandlerContext) {
         channel = context.channel()
-        writer = ResponseWriter(channel, ::isLastResponse, ::onResponseWritten)
-        handler.connectionOpened(this)
+        requests = CallerRequests(channel, handler, ::close) { end = ConnectionEnd.LAST_RESPONSE }
+        handler.connections.opened(this)
         checkIdle()
     }
 
     /** Closes the connection if it has no request, complete or partial. */
     fun closeIfIdle() {
-        if (serving == null && !reader.isReading && queue.isEmpty()) channel.close()
+        if (requests.isEmpty && !reader.isReading) close(ConnectionEnd.DRAINED)
+    }
+
+    /** Records the requests that are unanswered because of [end]. */
+    fun report(end: ConnectionEnd) {
+        requests.unanswered(end)?.let(handler::leftUnanswered)
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         lastActiveAt = MonotonicTime.now()
-        if (isClosing) return
+        if (requests.isClosing) return
         when (val result = reader.read(message)) {
             is ReadResult.Incomplete -> if (message is HttpRequest && HttpUtil.is100ContinueExpected(message)) {
                 channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
             }
-            is ReadResult.Complete -> {
-                queue.addLast(result.request)
-                channel.config().isAutoRead = queue.size <= MAX_PIPELINED_REQUESTS
-                serveNext()
-            }
-            is ReadResult.Rejected -> refuseAndClose(result.refusal)
+            is ReadResult.Complete -> requests.add(result.request)
+            is ReadResult.Rejected -> requests.reject(result.refusal)
         }
     }
 
-    private fun serveNext() {
-        if (serving != null || isClosing) return
-        val next = queue.removeFirstOrNull() ?: return
-        channel.config().isAutoRead = true
-        serving = next
-        val started = handler.serve(next, writer)
-        if (serving === next) exchange = started
-    }
-
-    /** Refuses an unreadable request and closes the connection, after the current response if there is one. */
-    private fun refuseAndClose(refusal: Refusal) {
-        isClosing = true
-        if (serving == null) writer.refuse(refusal, id = null)
-    }
-
-    private fun isLastResponse() = isClosing || handler.isDraining || serving?.isKeepAlive == false
-
-    private fun onResponseWritten(isLastResponse: Boolean) {
-        serving = null
-        exchange = null
-        lastActiveAt = MonotonicTime.now()
-        if (isLastResponse) isClosing = true else channel.eventLoop().execute { serveNext() }
-    }
-
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (channel.isWritable) exchange?.callerWritable()
+        if (channel.isWritable) requests.writable()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        isClosing = true
-        exchange?.callerDisconnected()
-        exchange = null
-        handler.connectionClosed(this)
+        if (end == ConnectionEnd.DISCONNECTED || end == ConnectionEnd.LAST_RESPONSE) report(end)
+        requests.disconnected()
+        handler.connections.closed(this)
+    }
+
+    private fun close(reason: ConnectionEnd) {
+        end = reason
+        report(reason)
+        channel.close()
     }
 
     /** Closes the connection when it has been idle for too long, or when a request arrives too slowly. */
@@ -119,13 +97,13 @@
         if (!channel.isOpen) return
         val limits = handler.callerLimits
         val timeout = if (reader.isReading) limits.headerTimeout else limits.idleTimeout
-        val idleFor = MonotonicTime.now() - lastActiveAt
+        val idleFor = MonotonicTime.now() - maxOf(lastActiveAt, requests.lastWrittenAt)
         when {
-            serving != null || idleFor < timeout -> Unit
-            reader.isReading -> refuseAndClose(Refusal(RequestCode.SlowRequest))
-            else -> channel.close()
+            requests.isServing || idleFor < timeout -> Unit
+            reader.isReading -> requests.reject(Refusal(RequestCode.SlowRequest))
+            else -> close(ConnectionEnd.IDLE)
         }
-        val next = if (serving == null && idleFor < timeout) timeout - idleFor else timeout
+        val next = if (!requests.isServing && idleFor < timeout) timeout - idleFor else timeout
         channel.eventLoop().schedule({ checkIdle() }, next.inWholeMilliseconds + 1, TimeUnit.MILLISECONDS)
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -25,6 +25,9 @@
     private val attempts: ExchangeAttempts =
         ExchangeAttempts(context, admitted, relay, ::onAttemptEvent) { completion.fail(it, attempts) }
 
+    override val progress: ExchangeProgress
+        get() = ExchangeProgress(attempts.sends, attempts.current?.choice?.record?.entry?.id?.text, relay.hasBegun)
+
     /** Sends the request to its first replica. */
     fun start() {
         val remaining = maxOf(1, (admitted.dueAt - MonotonicTime.now()).inWholeMilliseconds)
@@ -88,7 +91,9 @@
             }
             AttemptEvent.TimedOut -> {
                 attempts.countPossibleRun(attempt)
-                if (attempts.mayRetry(hasArrived = true)) retry(attempt, "no data within the time limit")
+                val mayRetry = attempts.mayRetry(hasArrived = true)
+                context.telemetry.log.attemptSilent(admitted, attempt, relay.hasBegun, mayRetry)
+                if (mayRetry) retry(attempt, "no data within the time limit")
             }
             AttemptEvent.Outdated -> {
                 attempts.countPossibleRun(attempt)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -149,12 +149,13 @@
         log.stateChange("stopping")
         runBlocking {
             withContext(scope.coroutineContext) {
-                admission.drain()
+                admission.connections.drain()
                 withTimeoutOrNull(settings.drainTimeout - SHUTDOWN_MARGIN) { drainConnections() }
                 withTimeoutOrNull(SHUTDOWN_MARGIN) { members.leave { membersView.objects } }
+                admission.connections.reportStop()
             }
         }
-        log.stateChange("stopped", "connectionsLeft" to admission.closeIdle())
+        log.stateChange("stopped", "connectionsLeft" to admission.connections.closeIdle())
     }
 
     /** Ends at once, as the end of the process would: closes all connections and frees the threads. */
@@ -208,11 +209,11 @@
     private suspend fun drainConnections() {
         delay(READINESS_DELAY)
         callerListener?.close()
-        while (admission.closeIdle() > 0) delay(DRAIN_POLL_INTERVAL)
+        while (admission.connections.closeIdle() > 0) delay(DRAIN_POLL_INTERVAL)
     }
 
     private val isReady: Boolean
-        get() = !admission.isDraining && operator.configuration != null && fleet.replicas.all.isNotEmpty()
+        get() = !admission.connections.isDraining && operator.configuration != null && fleet.replicas.all.isNotEmpty()
 
     private fun replicasChanged(view: StoreView) {
         val nextUpdate = replicas.update(view) ?: return
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
@@ -29,6 +29,10 @@
     var configuration: FleetConfiguration? = null
         private set
 
+    /** When the configuration in force took effect. */
+    var configuredAt = MonotonicTime.ZERO
+        private set
+
     /** The object with the configuration in force, null before the first. */
     var storedConfiguration: StoredObject? = null
         private set
@@ -100,6 +104,7 @@
         }
         configuration = next
         storedConfiguration = stored
+        configuredAt = MonotonicTime.now()
         fleet.quota.configure(next.workspaces.orEmpty(), MonotonicTime.now())
         log.stateChange("configuration in force", "version" to next.version.number, "former" to before?.version?.number)
         return true
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseWriter.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseWriter.kt
@@ -22,17 +22,20 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/**
- * Writes the responses on one caller's connection.
- *
- * @param isLast whether the connection closes after the current response
- * @param onFinished called when a response is written, with true if the connection closes after it
- */
-internal class ResponseWriter(
-    private val channel: Channel,
-    private val isLast: () -> Boolean,
-    private val onFinished: (Boolean) -> Unit,
-) : ResponseSink {
+/** Progress of the responses on one caller's connection. */
+internal interface ResponseProgress {
+    /** Whether the connection closes after the current response. */
+    fun isLast(): Boolean
+
+    /** Closes the connection before the end of a response. */
+    fun breakOff()
+
+    /** Called when a response is written, with true if the connection closes after it. */
+    fun finished(isLast: Boolean)
+}
+
+/** Writes the responses on one caller's connection. */
+internal class ResponseWriter(private val channel: Channel, private val progress: ResponseProgress) : ResponseSink {
     override val isWritable: Boolean get() = channel.isWritable
 
     override fun writeFull(head: ResponseHead, body: ByteArray) {
@@ -56,9 +59,7 @@
 
     override fun end() = finish(DefaultLastHttpContent())
 
-    override fun abort() {
-        channel.close()
-    }
+    override fun abort() = progress.breakOff()
 
     override fun refuse(refusal: Refusal, id: RequestId?) {
         val headers = listOfNotNull(
@@ -72,14 +73,14 @@
 
     private fun setHeaders(response: HttpResponse, head: ResponseHead) {
         head.headers.forEach { (name, value) -> response.headers().add(name, value) }
-        if (isLast()) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        if (progress.isLast()) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
     private fun finish(last: HttpObject) {
-        val isLastResponse = isLast()
+        val isLastResponse = progress.isLast()
         val written = channel.writeAndFlush(last)
         if (isLastResponse) written.addListener(ChannelFutureListener.CLOSE)
-        onFinished(isLastResponse)
+        progress.finished(isLastResponse)
     }
 
     private fun secondsText(duration: Duration) =
