Reproduce: a response is broken off while its replica is silent for a second

A replica sends the first of three events, nothing for 1.2 s and then the rest; the caller gets the first event and a closed connection if there is no other replica (1 event of 3), or, with twelve such requests at once on two replicas, if the budget for retries is used up (1 of 12 broken off). That another replica continues a response that stays silent holds.

--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/OutspokenReplica.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/OutspokenReplica.kt
@@ -34,6 +34,9 @@
     /** Time until a request is answered. */
     var delay: Duration by door::latency
 
+    /** How long nothing is sent wherever a response has a [ReplicaDoor.SILENCE]. */
+    var silence: Duration by door::silence
+
     /** A line that is added to the head of each response, null for none. */
     @Volatile
     var line: String? = null
@@ -57,10 +60,15 @@
         /** Returns [response] with [line] in its head. */
         fun withLine(response: String, line: String): String = response.replaceFirst("\r\n", "\r\n$line\r\n")
 
+        /** Ends a stream. */
+        const val STREAM_END = "0\r\n\r\n"
+
+        /** Returns the event with the number [id] of a stream. */
+        fun event(id: Int): String = EVENT.replace("1", "$id").let { "${it.length.toString(HEXADECIMAL)}\r\n$it\r\n" }
+
         /** Returns a whole successful response to the request [id]. */
         fun success(id: String, isStream: Boolean): String = if (isStream) {
-            SampleFleet.responseHead(id, isFramed = true) +
-                "${EVENT.length.toString(HEXADECIMAL)}\r\n$EVENT\r\n0\r\n\r\n"
+            SampleFleet.responseHead(id, isFramed = true) + event(1) + STREAM_END
         } else {
             SampleRequest.plainResponseHead(id, length = 2) + "{}"
         }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaDoor.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaDoor.kt
@@ -33,6 +33,10 @@
     @Volatile
     var latency: Duration = Duration.ZERO
 
+    /** How long nothing is sent wherever a response has a [SILENCE]. */
+    @Volatile
+    var silence: Duration = Duration.ZERO
+
     val address: String = "$LOOPBACK:${listener.localPort}"
 
     init {
@@ -56,13 +60,18 @@
             try {
                 while (isHeld) Thread.sleep(POLL)
                 val response = if (isMute) null else answer(head, body)
-                response?.let { socket.getOutputStream().write(it.toByteArray()) }
+                response?.let { send(it, socket) }
             } finally {
                 pending.decrementAndGet()
             }
         }
     }
 
+    private fun send(response: String, socket: Socket) = response.split(SILENCE).forEachIndexed { index, part ->
+        if (index > 0) Thread.sleep(silence.inWholeMilliseconds)
+        socket.getOutputStream().write(part.toByteArray())
+    }
+
     /** Closes the open connections. */
     fun disconnect() {
         connections.forEach { it.close() }
@@ -75,10 +84,12 @@
         disconnect()
     }
 
-    private companion object {
-        const val LOOPBACK = "127.0.0.1"
-        const val BACKLOG = 100
-        const val POLL = 10L
-        const val LENGTH = "Content-Length:"
+    companion object {
+        /** Stands in a response where the replica pauses. */
+        const val SILENCE = '\u0000'
+        private const val LOOPBACK = "127.0.0.1"
+        private const val BACKLOG = 100
+        private const val POLL = 10L
+        private const val LENGTH = "Content-Length:"
     }
 }
