A silent replica's response is given up only when another one continues it

What callers saw: an accepted stream was broken off in its midst around changes and stops, without trouble of its replica.

Cause: a response on which nothing arrives for 800 ms was taken from its replica (its connection was closed, so that the replica stopped) before another one was sought. If there was none, if it refused, if the retry budget was used up at a second try, the caller's connection was closed, although the first replica would have gone on: a sound replica may be silent for a second. On grown sites a gateway has few retries in a window (a slack of 180 over 70 gateways), so that the second try mostly has none. Class: giving up what works before its replacement is certain.

Change: RunningAttempts keeps the silent attempt beside its replacement until an event of one of them has arrived; the other is then given up. A replacement that has sent a head shows its first event within 300 ms or is given up, so that the two do not run on beside each other. What a replica has sent and what cannot be relayed yet belongs to its own part (ResponsePart), so that the silent one can go on within an event. A request on whose response nothing was relayed is taken from its replica only when another one is sent it. Bytes without an event count as failure, as before. A silence is noticed again every 800 ms as long as the route allows another replica.

Ruled out: longer limits before a silence is noticed (hanging replicas would be found later, and the fault stays).

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -44,13 +44,16 @@
 /**
  * One request to one replica.
  *
- * Updates the replica's load and health records. Times out if the first bytes take longer than expected, or if
- * the response stalls for longer than a healthy replica pauses.
+ * Updates the replica's load and health records. Reports a time-out if the first bytes take longer than expected, or if
+ * the response stalls for longer than a healthy replica mostly pauses; it goes on until it ends or is cancelled.
+ *
+ * @property part where the bytes of the response go
  */
 internal class Attempt(
     private val context: ExchangeContext,
     private val admitted: AdmittedRequest,
     val choice: ScoredReplica,
+    val part: ResponsePart,
     private val onEvent: (Attempt, AttemptEvent) -> Unit,
 ) : ReplicaResponseListener {
     private val record = choice.record
@@ -58,8 +61,12 @@
     private val rejection = BodyBuffer()
     private var call: PooledCall? = null
     private var hasEnded = false
-    private val timer = InactivityTimer(context.loop) {
-        accounting.observe(ReplicaOutcome.UNRESPONSIVE)
+    private var isKnownSilent = false
+
+    /** Notices when nothing arrives. */
+    val silence = SilenceTimer(context.loop) {
+        if (!isKnownSilent) accounting.observe(ReplicaOutcome.UNRESPONSIVE)
+        isKnownSilent = true
         if (progress.headAt == null) call?.reportSilence()
         onEvent(this, AttemptEvent.TimedOut)
     }
@@ -69,6 +76,9 @@
     private var head: ReplicaResponseHead? = null
     private var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
 
+    /** Whether it has neither ended nor been cancelled. */
+    val isRunning: Boolean get() = !hasEnded
+
     /** Whether the exchange has counted this attempt as possibly run. */
     var isCountedAsRun = false
     val startedAt = MonotonicTime.now()
@@ -79,7 +89,7 @@
     /** Sends the request. */
     fun start(instructions: ReplicaInstructions) {
         choice.path?.let { context.fleet.directory.record(it, record.entry.id, startedAt) }
-        timer.restart(firstByteTimeout())
+        silence.awaitBeginning(firstByteTimeout())
         beginningTimer.start()
         val refusal = {
             val isLate = MonotonicTime.now() >= admitted.dueAt
@@ -107,7 +117,7 @@
     fun setReading(isReading: Boolean) {
         if (hasEnded) return
         call?.setReading(isReading)
-        if (!isReading) timer.stop() else if (progress.bodyBytes > 0) timer.restart(STALL_TIMEOUT)
+        if (!isReading) silence.pause() else if (progress.bodyBytes > 0) silence.awaitMore()
     }
 
     override fun notSent(reason: String, isOwnDecision: Boolean) =
@@ -127,7 +137,7 @@
             }
         }
         if (!head.isRelayed) return
-        timer.extend(FIRST_BODY_TIMEOUT)
+        silence.headReceived()
         onEvent(this, AttemptEvent.HeadReceived(responseHead(head, this.headers)))
     }
 
@@ -135,11 +145,12 @@
         val response = head
         if (hasEnded || response == null) return
         progress.bytesReceived(bytes.size, MonotonicTime.now())
+        isKnownSilent = false
         accounting.prefillEnded()
         if (response.isRelayed) {
             onEvent(this, AttemptEvent.BytesReceived(bytes))
         } else if (rejection.append(bytes)) {
-            timer.restart(STALL_TIMEOUT)
+            silence.awaitMore()
         } else {
             call?.cancel()
             failed(rejection.overflow)
@@ -171,7 +182,7 @@
     private inline fun end(outcome: ReplicaOutcome?, then: () -> Unit) {
         if (hasEnded) return
         hasEnded = true
-        timer.stop()
+        silence.close()
         beginningTimer.stop()
         accounting.finish(outcome)
         then()
@@ -190,11 +201,6 @@
         val FIRST_BYTE_MARGIN = 300.milliseconds
         val MAX_FIRST_BYTE_TIMEOUT = 2.seconds
 
-        /** A replica that has sent the head has read the prompt, so that another one would respond later. */
-        val FIRST_BODY_TIMEOUT = 300.milliseconds
-
-        /** Twice the longest pause within a response that still counts as on time. */
-        val STALL_TIMEOUT = 800.milliseconds
         val RETRYABLE_MAX_IDLE = 10.seconds
 
         /** Non-retryable requests use only connections that the replica certainly still holds open. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -20,13 +20,12 @@
         is RetryPolicy.Stream -> StreamRelay(sink, admitted.request.resumeAfter)
         RetryPolicy.Idempotent, RetryPolicy.AtMostOnce -> BufferedRelay(sink)
     }
-    private val misdirections = Misdirections(context, admitted)
     private val completion = ExchangeCompletion(context, admitted, sink, relay)
-    private val attempts: ExchangeAttempts =
-        ExchangeAttempts(context, admitted, relay, ::onAttemptEvent) { completion.fail(it, attempts) }
+    private val attempts = AttemptHandler(context, admitted, sink, relay, completion).attempts
+    private val running get() = attempts.running
 
     override val progress: ExchangeProgress
-        get() = ExchangeProgress(attempts.sends, attempts.current?.choice?.record?.entry?.id?.text, relay.hasBegun)
+        get() = ExchangeProgress(attempts.sends, running.current?.choice?.record?.entry?.id?.text, relay.hasBegun)
 
     /** Sends the request to its first replica. */
     fun start() {
@@ -44,116 +43,29 @@
 
     override fun callerDisconnected() {
         if (completion.hasEnded) return
-        attempts.current?.cancel()
+        running.cancel()
         completion.callerDisconnected(attempts.sends)
     }
 
     override fun callerWritable() {
-        attempts.current?.setReading(true)
+        running.current?.setReading(true)
     }
 
     /** Ends the request if it, or its prompt, has been quarantined since it was sent and no event has arrived. */
     fun endIfQuarantined() {
         val isWaiting = !completion.hasEnded && !relay.hasBegun && !attempts.isTrial
         val refusal = (if (isWaiting) attempts.refusalSinceSent else null) ?: return
-        attempts.current?.let {
+        running.current?.let {
             attempts.countPossibleRun(it)
-            it.cancel()
-            context.telemetry.log.attemptEnded(admitted, it, "it is quarantined")
+            running.giveUp(it, "it is quarantined")
         }
         completion.fail(refusal, attempts)
     }
 
-    private fun onAttemptEvent(attempt: Attempt, event: AttemptEvent) {
-        if (completion.hasEnded) return
-        when (event) {
-            is AttemptEvent.NotSent ->
-                retryOrFail(attempt, DispatchCode.NoEndpoint, event.reason, hasArrived = false)
-            is AttemptEvent.NotRun -> {
-                misdirections.record(attempt, event.head)
-                retryOrFail(attempt, DispatchCode.EndpointsBusy, "refused with ${event.head.status}, not run")
-            }
-            is AttemptEvent.HeadReceived -> {
-                attempts.countPossibleRun(attempt)
-                relay.offerHead(event.head)
-            }
-            is AttemptEvent.BytesReceived -> when (val result = relay.write(event.bytes)) {
-                RelayResult.Partial -> Unit
-                RelayResult.Advanced -> attempt.setReading(sink.isWritable)
-                is RelayResult.Invalid -> retryOrFail(attempt, DispatchCode.OutcomeUnknown, result.reason)
-            }
-            is AttemptEvent.Complete -> complete(attempt, event)
-            is AttemptEvent.Failed -> {
-                attempts.countPossibleRun(attempt)
-                context.crashes.examine(attempt, admitted) {
-                    retryOrFail(attempt, DispatchCode.OutcomeUnknown, event.reason)
-                }
-            }
-            AttemptEvent.TimedOut -> {
-                attempts.countPossibleRun(attempt)
-                val mayRetry = attempts.mayRetry(hasArrived = true)
-                context.telemetry.log.attemptSilent(admitted, attempt, relay.hasBegun, mayRetry)
-                if (mayRetry) retry(attempt, "no data within the time limit")
-            }
-            AttemptEvent.Outdated -> {
-                attempts.countPossibleRun(attempt)
-                retryOrFail(attempt, DispatchCode.OutcomeUnknown, "it has not begun on weights that were replaced")
-            }
-        }
-    }
-
-    private fun complete(attempt: Attempt, event: AttemptEvent.Complete) {
-        attempts.countPossibleRun(attempt)
-        when {
-            !event.head.isSuccess -> handleFailure(attempt, event)
-            relay.end() -> {
-                context.requestQuarantine.answered(admitted.key)
-                admitted.request.prompt?.let { context.quarantine.answered(it) }
-                completion.succeed(event.head.status, attempts.sends)
-            }
-            else -> retryOrFail(attempt, DispatchCode.OutcomeUnknown, "the stream ended within an event")
-        }
-    }
-
-    /** Handles the failure of a replica that ran the request: retries if allowed, otherwise relays its response. */
-    private fun handleFailure(attempt: Attempt, event: AttemptEvent.Complete) {
-        val status = event.head.status
-        val reason = "the endpoint answered $status"
-        when {
-            event.head.isServerError && attempts.mayRetry(hasArrived = true) -> retry(attempt, reason)
-            relay.hasBegun || status in NOT_RUN_STATUSES -> completion.fail(
-                Refusal(DispatchCode.OutcomeUnknown, reason),
-                attempts
-            )
-            else -> completion.forwardFailure(event, attempts.sends)
-        }
-    }
-
-    private fun retryOrFail(attempt: Attempt, code: DispatchCode, reason: String, hasArrived: Boolean = true) {
-        if (completion.hasEnded) return
-        if (attempts.mayRetry(hasArrived)) return retry(attempt, reason)
-        attempt.cancel()
-        context.telemetry.log.attemptEnded(admitted, attempt, reason)
-        completion.fail(Refusal(code, reason), attempts)
-    }
-
-    /** Cancels [attempt] if it is still running and sends the request to another replica. */
-    private fun retry(attempt: Attempt, reason: String) {
-        attempt.cancel()
-        context.telemetry.log.attemptEnded(admitted, attempt, reason)
-        attempts.sendNext()
-    }
-
     private fun onTimeout() {
-        val attempt = attempts.current
-        attempt?.cancel()
-        attempt?.let { attempts.countPossibleRun(it) }
-        val code = if (attempt == null) DispatchCode.DeadlinePassed else DispatchCode.EndpointTimeout
+        val hasAttempt = running.current != null
+        running.cancel { attempts.countPossibleRun(it) }
+        val code = if (hasAttempt) DispatchCode.EndpointTimeout else DispatchCode.DeadlinePassed
         completion.fail(Refusal(code, "the time is over"), attempts)
     }
-
-    private companion object {
-        /** Statuses from which a caller concludes that its request was not run. */
-        val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
-    }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -30,10 +30,10 @@
     private val instructions = InstructionsFactory(context, admitted)
     private val tried = HashSet<ReplicaId>()
     private val quarantine = QuarantineRefusals(context, admitted)
+    private var searches = 0
 
-    /** The running attempt, or the last one. */
-    var current: Attempt? = null
-        private set
+    /** The attempts that have not ended. */
+    val running = RunningAttempts { attempt, reason -> context.telemetry.log.attemptEnded(admitted, attempt, reason) }
     val sends: Int get() = history.sends
     val isKnownNotRun: Boolean get() = history.isKnownNotRun
 
@@ -47,27 +47,41 @@
     /** Whether the request has ended and is not sent any more. */
     var isOver = false
 
+    /** Whether the request may be sent to another replica at all, whatever the time and the budget. */
+    val allowsAnotherSend: Boolean get() = history.allowsAnotherSend
+
     /** Sends the request, soon, to the best replica not yet tried that takes it, or refuses it. */
-    fun sendNext() = ifStillWanted {
-        val refusal = quarantine.beforeSend { isTrial = true }
-        if (refusal != null) onRefused(refusal) else sendToBest()
+    fun sendNext() {
+        val search = ++searches
+        ifStillWanted(search) {
+            val refusal = quarantine.beforeSend { isTrial = true }
+            if (refusal != null) onRefused(refusal) else sendToBest(search)
+        }
+    }
+
+    /** Records that the response has advanced by [attempt]: the request is not sent anywhere else. */
+    fun advanced(attempt: Attempt) {
+        if (running.silent == null) return
+        searches += 1
+        running.advanced(attempt)
     }
 
     /**
-     * Calls [then] soon, if the caller still waits and the request can begin in time; otherwise refuses the request.
+     * Calls [then] soon, if the caller still waits for this [search] and the request can begin in time; refuses the
+     * request if it cannot.
      *
      * A loop that is late handles responses before timers, and in no order among connections.
      */
-    private fun ifStillWanted(then: () -> Unit) = context.loop.afterNextPoll {
+    private fun ifStillWanted(search: Int, then: () -> Unit) = context.loop.afterNextPoll {
         when {
-            isOver -> Unit
+            isOver || search != searches -> Unit
             admitted.dueAt - MonotonicTime.now() < MIN_TIME_TO_BEGIN ->
                 onRefused(Refusal(DispatchCode.DeadlinePassed, "no time is left"))
             else -> then()
         }
     }
 
-    private fun sendToBest() {
+    private fun sendToBest(search: Int) {
         val owner = admitted.workspace?.takeIf { it.isIsolated }?.name
         val placementRequest = PlacementRequest(
             admitted.service.name,
@@ -79,13 +93,14 @@
         )
         when (val result = context.fleet.placement.choose(placementRequest, MonotonicTime.now())) {
             is PlacementResult.NoReplica -> onRefused(Refusal(DispatchCode.NoEndpoint, result.reason))
-            is PlacementResult.AllClosed -> waitOrRefuse()
-            is PlacementResult.Chosen -> overloadRefusal(result.chosen)?.let(onRefused) ?: sendIfPermitted(result)
+            is PlacementResult.AllClosed -> waitOrRefuse(search)
+            is PlacementResult.Chosen ->
+                overloadRefusal(result.chosen)?.let(onRefused) ?: sendIfPermitted(search, result)
         }
     }
 
     /** Waits for the first replica that takes requests again if the response can still be on time. */
-    private fun waitOrRefuse() {
+    private fun waitOrRefuse(search: Int) {
         val now = MonotonicTime.now()
         val pauseEnd = context.fleet.replicas.firstPauseEnd(admitted.service.name, now, tried)
             ?: return onRefused(
@@ -95,7 +110,7 @@
         val waitsUntil = if (relay.hasBegun) admitted.dueAt else minOf(latestStart, admitted.dueAt)
         if (pauseEnd + MIN_TIME_TO_BEGIN < waitsUntil) {
             val delay = (pauseEnd - now).inWholeMilliseconds + 1
-            context.loop.schedule({ ifStillWanted { sendToBest() } }, delay, TimeUnit.MILLISECONDS)
+            context.loop.schedule({ ifStillWanted(search) { sendToBest(search) } }, delay, TimeUnit.MILLISECONDS)
         } else {
             val detail = "no replica takes requests for ${(pauseEnd - now).inWholeMilliseconds} ms"
             onRefused(Refusal(DispatchCode.EndpointsBusy, detail, context.timeToReturn(admitted.service, pauseEnd)))
@@ -103,9 +118,9 @@
     }
 
     /** Sends the request at once if its replica has named no rate, otherwise once there is a permit. */
-    private fun sendIfPermitted(result: PlacementResult.Chosen) {
+    private fun sendIfPermitted(search: Int, result: PlacementResult.Chosen) {
         val replica = result.chosen.record.entry
-        val rate = context.fleet.rates.rate(replica.incarnation) ?: return send(result)
+        val rate = context.fleet.rates.rate(replica.incarnation) ?: return send(search, result)
         context.permits.request(replica) { decision ->
             val isGranted = decision is PermitDecision.Granted
             context.telemetry.metrics.count("guavapath.gateway.permits", "granted", isGranted.toString())
@@ -114,8 +129,8 @@
             }
             when {
                 isOver -> Unit
-                decision is PermitDecision.Granted -> ifStillWanted { send(result) }
-                else -> ifStillWanted { sendToBest() }
+                decision is PermitDecision.Granted -> ifStillWanted(search) { send(search, result) }
+                else -> ifStillWanted(search) { sendToBest(search) }
             }
         }
     }
@@ -145,17 +160,17 @@
         attempt.isCountedAsRun = true
     }
 
-    private fun send(result: PlacementResult.Chosen) {
+    private fun send(search: Int, result: PlacementResult.Chosen) {
         // The replica may have said something since it was chosen, while the request waited for a permit.
         val replica = result.chosen.record
-        if (replica.entry.isDraining || context.availability.refusal(replica.entry) != null) return sendToBest()
+        if (replica.entry.isDraining || context.availability.refusal(replica.entry) != null) return sendToBest(search)
         history.sent()
         tried.add(result.chosen.record.entry.id)
         val namedRate = context.fleet.rates.rate(result.chosen.record.entry.incarnation)
         context.telemetry.log.dispatched(admitted, result, history.sends, namedRate, context.fleet.weights)
-        relay.restart()
-        val attempt = Attempt(context, admitted, result.chosen, onEvent)
-        current = attempt
+        val attempt = Attempt(context, admitted, result.chosen, relay.newPart(), onEvent)
+        // A response that has not begun can still be refused, and the two replicas would both read the prompt.
+        running.sent(attempt, keepsSilent = relay.hasBegun)
         attempt.start(instructions.of(result.chosen, relay.resumeAfter))
         context.requestSent()
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseRelay.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseRelay.kt
@@ -15,7 +15,24 @@
     class Invalid(val reason: String) : RelayResult()
 }
 
-/** Relays the bytes of a successful response to the caller. */
+/** The part of a response that arrives from one replica. */
+internal interface ResponsePart {
+    /** Sets the head; it is not relayed once the response has begun. */
+    fun offerHead(offered: ResponseHead)
+
+    /** Relays the next bytes. */
+    fun write(bytes: ByteArray): RelayResult
+
+    /** Ends the response; returns false if it is incomplete. */
+    fun end(): Boolean
+}
+
+/**
+ * Relays a successful response to the caller.
+ *
+ * Several replicas may each send a part. What one of them has sent and that cannot be relayed yet, such as the
+ * beginning of an event, belongs to its part alone.
+ */
 internal sealed class ResponseRelay {
     /** Whether any part of the response was sent to the caller. */
     abstract val hasBegun: Boolean
@@ -26,17 +43,8 @@
     /** When the first event was relayed; null before that and for responses that are not streams. */
     abstract val firstEventAt: MonotonicTime?
 
-    /** Sets the head of the response; ignored once the response has begun. */
-    abstract fun offerHead(offered: ResponseHead)
-
-    /** Relays the next bytes. */
-    abstract fun write(bytes: ByteArray): RelayResult
-
-    /** Ends the response; returns false if it is incomplete. */
-    abstract fun end(): Boolean
-
-    /** Discards buffered bytes of a failed attempt that were not relayed. */
-    abstract fun restart()
+    /** Returns a new part, for one attempt. */
+    abstract fun newPart(): ResponsePart
 
     /** A short description for the log. */
     abstract fun summary(): String
@@ -44,30 +52,34 @@
 
 /** Buffers the response and relays it as a whole, so that the request can be retried if the response is cut off. */
 internal class BufferedRelay(private val sink: ResponseSink) : ResponseRelay() {
-    private var head: ResponseHead? = null
-    private var body = BodyBuffer()
+    private var status: Int? = null
 
     override val hasBegun: Boolean get() = false
     override val resumeAfter: Long? get() = null
     override val firstEventAt: MonotonicTime? get() = null
 
-    override fun offerHead(offered: ResponseHead) {
-        head = offered
-    }
+    override fun newPart(): ResponsePart = Part()
 
-    override fun write(bytes: ByteArray): RelayResult =
-        if (body.append(bytes)) RelayResult.Advanced else RelayResult.Invalid(body.overflow)
+    override fun summary(): String = "answered $status"
 
-    override fun end(): Boolean {
-        sink.writeFull(checkNotNull(head), body.bytes())
-        return true
-    }
+    private inner class Part : ResponsePart {
+        private var head: ResponseHead? = null
+        private val body = BodyBuffer()
 
-    override fun restart() {
-        body = BodyBuffer()
-    }
+        override fun offerHead(offered: ResponseHead) {
+            head = offered
+        }
 
-    override fun summary(): String = "answered ${head?.status}"
+        override fun write(bytes: ByteArray): RelayResult =
+            if (body.append(bytes)) RelayResult.Advanced else RelayResult.Invalid(body.overflow)
+
+        override fun end(): Boolean {
+            val whole = checkNotNull(head)
+            status = whole.status
+            sink.writeFull(whole, body.bytes())
+            return true
+        }
+    }
 }
 
 /**
@@ -77,8 +89,6 @@
  * and the caller sees a single response.
  */
 internal class StreamRelay(private val sink: ResponseSink, lastEventOfCaller: Long?) : ResponseRelay() {
-    private var assembler = EventAssembler()
-    private var head: ResponseHead? = null
     private var lastEventId = lastEventOfCaller
     private var events = 0
 
@@ -88,48 +98,52 @@
         private set
     override val resumeAfter: Long? get() = lastEventId
 
-    override fun offerHead(offered: ResponseHead) {
-        if (!hasBegun) head = offered
-    }
+    override fun newPart(): ResponsePart = Part()
 
-    override fun write(bytes: ByteArray): RelayResult {
-        val complete = assembler.feed(bytes)
-        for (event in complete) {
-            val id = event.id
-            val previous = lastEventId
-            if (id != null && previous != null && id <= previous) {
-                return RelayResult.Invalid("the events are out of order")
-            }
-            begin()
-            events += 1
-            lastEventId = id ?: lastEventId
-            sink.writeChunk(event.bytes)
-        }
-        return when {
-            assembler.partialBytes > MAX_EVENT_BYTES -> RelayResult.Invalid("an event exceeds $MAX_EVENT_BYTES bytes")
-            complete.isEmpty() -> RelayResult.Partial
-            else -> RelayResult.Advanced
-        }
-    }
+    override fun summary(): String = "stream of $events events"
 
-    override fun end(): Boolean {
-        if (assembler.hasPartialEvent) return false
-        begin()
-        sink.end()
-        return true
-    }
+    private inner class Part : ResponsePart {
+        private val assembler = EventAssembler()
+        private var head: ResponseHead? = null
 
-    override fun restart() {
-        assembler = EventAssembler()
-    }
+        override fun offerHead(offered: ResponseHead) {
+            head = offered
+        }
 
-    override fun summary(): String = "stream of $events events"
+        override fun write(bytes: ByteArray): RelayResult {
+            val complete = assembler.feed(bytes)
+            for (event in complete) {
+                val id = event.id
+                val previous = lastEventId
+                if (id != null && previous != null && id <= previous) {
+                    return RelayResult.Invalid("the events are out of order")
+                }
+                begin()
+                events += 1
+                lastEventId = id ?: lastEventId
+                sink.writeChunk(event.bytes)
+            }
+            return when {
+                assembler.partialBytes > MAX_EVENT_BYTES ->
+                    RelayResult.Invalid("an event exceeds $MAX_EVENT_BYTES bytes")
+                complete.isEmpty() -> RelayResult.Partial
+                else -> RelayResult.Advanced
+            }
+        }
 
-    private fun begin() {
-        if (hasBegun) return
-        hasBegun = true
-        firstEventAt = MonotonicTime.now()
-        sink.begin(checkNotNull(head))
+        override fun end(): Boolean {
+            if (assembler.hasPartialEvent) return false
+            begin()
+            sink.end()
+            return true
+        }
+
+        private fun begin() {
+            if (hasBegun) return
+            hasBegun = true
+            firstEventAt = MonotonicTime.now()
+            sink.begin(checkNotNull(head))
+        }
     }
 
     private companion object {
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/SilentReplicaTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/SilentReplicaTest.kt
@@ -30,7 +30,7 @@
 
     private fun eventsOf(response: CallerResponse) = response.text.lines().filter { it.startsWith("id: ") }
 
-    /** Guards against breaking off an accepted request because its replica is silent for a second and no other takes it. */
+    /** Guards against breaking off a response whose replica is silent for a second, while no other continues it. */
     @Test
     fun aResponseGoesOnAfterASilenceIfNoOtherReplicaContinuesIt() {
         val cases = listOf(
