A response has ended when the socket has taken it, and requests that were read are answered before the connection closes

Cause: a response counted as finished when it was handed to the channel, so that the drain and the idle timeout took its connection for idle; the last response of a connection left the queue behind it unanswered. Class: written taken for sent.

Change: CallerRequests serves a request until the socket has taken its whole response. A drain closes a connection after the last request that was read; an unreadable request is refused after those before it. After its last response a connection closes one way first, since closing over unread bytes resets it and loses the response. IdleWatch reads what has arrived before it closes, and disconnects callers that read nothing of a response for the idle timeout (they were disconnected over pending bytes before, whether they read or not).

Evidence: CallerConnectionTest; before, a slow reader got 3,950,252 of 24,000,000 bytes beside a drain, and one of three pipelined requests was answered.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
@@ -28,6 +28,9 @@
     override val connections = CallerConnections()
     override val callerLimits: CallerLimits get() = operator.configuration?.callerLimits ?: STARTUP_CALLER_LIMITS
 
+    override fun failed(cause: Throwable) =
+        context.telemetry.log.stateChange("request failed", "error" to cause.stackTraceToString())
+
     override fun leftUnanswered(unanswered: UnansweredRequests) {
         val ids = unanswered.requests.map { request ->
             RequestCodec.decode({ request.headers.get(it) }, request.receivedAt).getOrElse { null }?.id?.text
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerConnection.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
@@ -10,10 +11,11 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import org.guavapath.core.fleet.CallerLimits
-import org.guavapath.core.results.RequestCode
-import org.guavapath.core.time.MonotonicTime
+import org.guavapath.core.results.ProgramCode
 import org.guavapath.daemon.pipeline.Refusal
+import java.io.IOException
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
 
 /** Handles the requests of callers' connections. */
 internal interface RequestHandler {
@@ -23,6 +25,9 @@
     /** Starts serving [request]; returns the exchange to notify of connection events, null if it has ended. */
     fun serve(request: IncomingRequest, sink: ResponseSink): RunningExchange?
 
+    /** Records a failure of this program while it read or served requests. */
+    fun failed(cause: Throwable)
+
     /** Records requests that were read and that the caller has no whole response to. */
     fun leftUnanswered(unanswered: UnansweredRequests)
 }
@@ -42,21 +47,22 @@
 /** One connection of a caller. While a request is served, later ones are read and queued. */
 internal class CallerConnection(private val handler: RequestHandler) : SimpleChannelInboundHandler<HttpObject>() {
     private val reader = RequestReader { handler.callerLimits.bodyBytes }
-    private var lastActiveAt = MonotonicTime.now()
     private var end = ConnectionEnd.DISCONNECTED
     private lateinit var channel: Channel
     private lateinit var requests: CallerRequests
+    private lateinit var idleness: IdleWatch
 
     override fun channelActive(context: ChannelHandlerContext) {
         channel = context.channel()
-        requests = CallerRequests(channel, handler, ::close) { end = ConnectionEnd.LAST_RESPONSE }
+        requests = CallerRequests(channel, handler, ::close, ::closeAfterLastResponse)
+        idleness = IdleWatch(channel, handler, reader, requests, ::close)
         handler.connections.opened(this)
-        checkIdle()
+        idleness.check()
     }
 
-    /** Closes the connection if it has no request, complete or partial. */
-    fun closeIfIdle() {
-        if (requests.isEmpty && !reader.isReading) close(ConnectionEnd.DRAINED)
+    /** Closes the connection if it has no request, complete or partial, once what has arrived is read. */
+    fun closeIfIdle() = channel.eventLoop().afterNextPoll {
+        if (requests.isEmpty && !requests.isClosing && !reader.isReading) close(ConnectionEnd.DRAINED)
     }
 
     /** Records the requests that are unanswered because of [end]. */
@@ -65,7 +71,7 @@
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
-        lastActiveAt = MonotonicTime.now()
+        idleness.active()
         if (requests.isClosing) return
         when (val result = reader.read(message)) {
             is ReadResult.Incomplete -> if (message is HttpRequest && HttpUtil.is100ContinueExpected(message)) {
@@ -86,24 +92,28 @@
         handler.connections.closed(this)
     }
 
+    /** Refuses the request that was being read, as a part of it may be missing. */
+    @Deprecated("Deprecated in Netty for outbound handlers only")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        if (cause is IOException) return
+        handler.failed(cause)
+        if (channel.isActive) requests.reject(Refusal(ProgramCode.InternalError))
+    }
+
     private fun close(reason: ConnectionEnd) {
         end = reason
         report(reason)
         channel.close()
     }
 
-    /** Closes the connection when it has been idle for too long, or when a request arrives too slowly. */
-    private fun checkIdle() {
-        if (!channel.isOpen) return
-        val limits = handler.callerLimits
-        val timeout = if (reader.isReading) limits.headerTimeout else limits.idleTimeout
-        val idleFor = MonotonicTime.now() - maxOf(lastActiveAt, requests.lastWrittenAt)
-        when {
-            requests.isServing || idleFor < timeout -> Unit
-            reader.isReading -> requests.reject(Refusal(RequestCode.SlowRequest))
-            else -> close(ConnectionEnd.IDLE)
-        }
-        val next = if (!requests.isServing && idleFor < timeout) timeout - idleFor else timeout
-        channel.eventLoop().schedule({ checkIdle() }, next.inWholeMilliseconds + 1, TimeUnit.MILLISECONDS)
+    /** Closes one way first: closing over bytes that were not read would reset the connection and lose the response. */
+    private fun closeAfterLastResponse() {
+        end = ConnectionEnd.LAST_RESPONSE
+        (channel as DuplexChannel).shutdownOutput()
+        channel.eventLoop().schedule({ channel.close() }, LINGER_TIME.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private companion object {
+        val LINGER_TIME = 1.seconds
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerRequests.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerRequests.kt
@@ -1,6 +1,7 @@
 package org.guavapath.daemon.gateway
 
 import io.netty.channel.Channel
+import org.guavapath.core.results.ProgramCode
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.pipeline.Refusal
 
@@ -10,7 +11,10 @@
 /**
  * The requests of one caller's connection that were read. They are served one at a time, in order.
  *
- * @param onLast called when the last response of the connection was written
+ * A request is served until the socket has taken its whole response. One that cannot be read is refused after those
+ * before it; the connection then closes.
+ *
+ * @param onLast called when the last response of the connection was sent
  */
 internal class CallerRequests(
     private val channel: Channel,
@@ -22,19 +26,25 @@
     private val queue = ArrayDeque<IncomingRequest>()
     private var serving: IncomingRequest? = null
     private var exchange: RunningExchange? = null
+    private var rejection: Refusal? = null
 
-    /** Whether nothing more is read, as the connection closes after the current response. */
+    /** Whether nothing more is read. */
     var isClosing = false
+        private set
 
-    /** When the last response was written. */
-    var lastWrittenAt = MonotonicTime.ZERO
+    /** Whether the whole current response was handed to the channel and waits until the caller reads it. */
+    var isSending = false
+        private set
+
+    /** When the last response was sent. */
+    var lastSentAt = MonotonicTime.ZERO
         private set
 
     /** Whether no request is served or waits. */
-    val isEmpty: Boolean get() = serving == null && queue.isEmpty()
+    val isEmpty: Boolean get() = serving == null && queue.isEmpty() && rejection == null
 
-    /** Whether a request is being served. */
-    val isServing: Boolean get() = serving != null
+    /** Bytes of responses that the socket has not taken yet. */
+    val pendingBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
 
     /** Adds a request that was read whole. */
     fun add(request: IncomingRequest) {
@@ -43,10 +53,11 @@
         serveNext()
     }
 
-    /** Refuses an unreadable request and closes the connection, after the current response if there is one. */
+    /** Refuses an unreadable request, after the responses to those before it, and closes the connection. */
     fun reject(refusal: Refusal) {
         isClosing = true
-        if (serving == null) writer.refuse(refusal, id = null)
+        rejection = refusal
+        serveNext()
     }
 
     /** Called when the connection accepts bytes again after backpressure. */
@@ -61,24 +72,32 @@
         exchange = null
     }
 
-    /** Returns the requests without a whole response as the connection ends because of [end], null if there are none. */
+    /** Returns the requests without a whole response as the connection ends, null if there are none. */
     fun unanswered(end: ConnectionEnd): UnansweredRequests? {
-        val pendingBytes = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
         val requests = listOfNotNull(serving) + queue
         if (requests.isEmpty() && pendingBytes == 0L) return null
         return UnansweredRequests(end, requests, pendingBytes, exchange?.progress)
     }
 
-    override fun isLast() = isClosing || handler.connections.isDraining || serving?.isKeepAlive == false
+    override fun isLast(): Boolean {
+        val isNothingLeft = queue.isEmpty() && rejection == null
+        return serving?.isKeepAlive != true || handler.connections.isDraining && isNothingLeft
+    }
 
     override fun breakOff() = close(ConnectionEnd.BROKEN_OFF)
 
-    override fun finished(isLast: Boolean) {
+    override fun handedOver() {
+        isSending = true
+    }
+
+    override fun sent(isLast: Boolean) {
         serving = null
         exchange = null
-        lastWrittenAt = MonotonicTime.now()
+        isSending = false
+        lastSentAt = MonotonicTime.now()
         if (isLast) {
             isClosing = true
+            rejection = null
             onLast()
         } else {
             channel.eventLoop().execute { serveNext() }
@@ -86,11 +105,15 @@
     }
 
     private fun serveNext() {
-        if (serving != null || isClosing) return
-        val next = queue.removeFirstOrNull() ?: return
+        if (serving != null || isSending || !channel.isOpen) return
+        val next = queue.removeFirstOrNull() ?: return rejection?.let { writer.refuse(it, id = null) } ?: Unit
         channel.config().isAutoRead = true
         serving = next
-        val started = handler.serve(next, writer)
+        val started = runCatching { handler.serve(next, writer) }.getOrElse {
+            handler.failed(it)
+            if (serving === next && !isSending) writer.refuse(Refusal(ProgramCode.InternalError), id = null)
+            null
+        }
         if (serving === next) exchange = started
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseWriter.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseWriter.kt
@@ -2,8 +2,6 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.channel.ChannelFutureListener
-import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.DefaultLastHttpContent
@@ -30,20 +28,30 @@
     /** Closes the connection before the end of a response. */
     fun breakOff()
 
-    /** Called when a response is written, with true if the connection closes after it. */
-    fun finished(isLast: Boolean)
+    /** Called when the whole response was handed to the channel. */
+    fun handedOver()
+
+    /** Called when the socket has taken the whole response, with true if the connection closes after it. */
+    fun sent(isLast: Boolean)
 }
 
 /** Writes the responses on one caller's connection. */
 internal class ResponseWriter(private val channel: Channel, private val progress: ResponseProgress) : ResponseSink {
+    private var hasAnnouncedEnd = false
+
     override val isWritable: Boolean get() = channel.isWritable
 
     override fun writeFull(head: ResponseHead, body: ByteArray) {
-        val status = HttpResponseStatus.valueOf(head.status)
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body))
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
         setHeaders(response, head)
         HttpUtil.setContentLength(response, body.size.toLong())
-        finish(response)
+        channel.write(response)
+        // In pieces, so that a caller that reads slowly can be told from one that does not read.
+        for (from in 0 until body.size - PIECE_BYTES step PIECE_BYTES) {
+            channel.write(DefaultHttpContent(Unpooled.wrappedBuffer(body, from, PIECE_BYTES)))
+        }
+        val rest = if (body.isEmpty()) 0 else (body.size - 1) / PIECE_BYTES * PIECE_BYTES
+        finish(DefaultLastHttpContent(Unpooled.wrappedBuffer(body, rest, body.size - rest)))
     }
 
     override fun begin(head: ResponseHead) {
@@ -73,16 +81,20 @@
 
     private fun setHeaders(response: HttpResponse, head: ResponseHead) {
         head.headers.forEach { (name, value) -> response.headers().add(name, value) }
-        if (progress.isLast()) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        hasAnnouncedEnd = progress.isLast()
+        if (hasAnnouncedEnd) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
     private fun finish(last: HttpObject) {
-        val isLastResponse = progress.isLast()
-        val written = channel.writeAndFlush(last)
-        if (isLastResponse) written.addListener(ChannelFutureListener.CLOSE)
-        progress.finished(isLastResponse)
+        val isLast = hasAnnouncedEnd || progress.isLast()
+        progress.handedOver()
+        channel.writeAndFlush(last).addListener { if (it.isSuccess) progress.sent(isLast) }
     }
 
     private fun secondsText(duration: Duration) =
         String.format(Locale.ROOT, "%.3f", duration.toDouble(DurationUnit.SECONDS))
+
+    private companion object {
+        const val PIECE_BYTES = 65_536
+    }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/UnansweredRequests.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/UnansweredRequests.kt
@@ -14,6 +14,9 @@
     /** It had no request for too long. */
     IDLE,
 
+    /** The caller did not read its response for too long. */
+    UNREAD,
+
     /** It had no request while the gateway drains. */
     DRAINED,
 
