A stop answers the requests that still run, and logs their end

What callers saw: when a gateway stopped, requests that had been read and were not answered within the drain limit got neither an answer nor a refusal, and left no line in the log.

Cause: the process ended after the drain limit, whatever still ran. Change: running requests end as at their deadline: with 503 if it is certain that they have not run, with 502 otherwise, and visibly broken off if the response has begun.

Evidence: GatewayTest.endsEachRequestWhenItStops; before, no response within 2 s of the stop.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -62,10 +62,16 @@
         completion.fail(refusal, attempts)
     }
 
+    /** Ends the request as the process stops: refuses it, or breaks off its response if that has begun. */
+    fun endForStop() = end(Refusal(DispatchCode.Draining, "the gateway has stopped"))
+
     private fun onTimeout() {
-        val hasAttempt = running.current != null
+        val code = if (running.current != null) DispatchCode.EndpointTimeout else DispatchCode.DeadlinePassed
+        end(Refusal(code, "the time is over"))
+    }
+
+    private fun end(refusal: Refusal) {
         running.cancel { attempts.countPossibleRun(it) }
-        val code = if (hasAttempt) DispatchCode.EndpointTimeout else DispatchCode.DeadlinePassed
-        completion.fail(Refusal(code, "the time is over"), attempts)
+        completion.fail(refusal, attempts)
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -151,6 +151,7 @@
             withContext(scope.coroutineContext) {
                 admission.connections.drain()
                 withTimeoutOrNull(settings.drainTimeout - SHUTDOWN_MARGIN) { drainConnections() }
+                exchanges.running.toList().forEach { it.endForStop() }
                 withTimeoutOrNull(SHUTDOWN_MARGIN) { members.leave { membersView.objects } }
                 admission.connections.reportStop()
             }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewayTest.kt
@@ -5,6 +5,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
@@ -232,6 +233,29 @@
         assertEquals(1, heads.size, "the request was sent once")
     }
 
+    /** Guards against ending with requests that were read and have neither a response nor a refusal. */
+    @Test
+    fun endsEachRequestWhenItStops() {
+        val beginning = sample.response.substringBefore("0\r\n")
+        val cases = listOf(
+            Triple("a request that may have run", null, "HTTP/1.1 502"),
+            Triple("a response that has begun", beginning, "HTTP/1.1 200"),
+        )
+        val texts = cases.map { (name, text, status) ->
+            response = text
+            val socket = Socket(LOOPBACK, callers)
+            socket.getOutputStream().write(sample.patientRequest.toByteArray())
+            assertNotNull(heads.poll(2, TimeUnit.SECONDS), "$name: the request did not reach the replica")
+            Thread.sleep(200)
+            Triple(name, status, CompletableFuture.supplyAsync { socket.getInputStream().bufferedReader().readText() })
+        }
+        gateway.shutDown()
+        texts.forEach { (name, status, text) ->
+            val received = text.get(2, TimeUnit.SECONDS)
+            assertTrue(received.startsWith(status) && !received.endsWith("0\r\n\r\n"), "$name: $received")
+        }
+    }
+
     private companion object {
         /** Longer than a replica may pause within a response. */
         const val CALLER_PAUSE = 1_200L
