A refusal at the caller's deadline is sent before the caller leaves

What callers saw: neither an answer nor a refusal at their deadline, while replicas hang: the refusal was sent at the deadline and reached them when they had left.

Change: a request of whose response nothing was relayed is refused 30 ms before the caller's deadline, or a tenth of it if that is less. A response that has begun may go on until the deadline. The route's timeout is as before.

Evidence: SilentReplicaTest.callersHearBeforeTheirDeadlineThatTheirTimeIsOver (prompts, lookups, orders).

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -1,5 +1,6 @@
 package org.guavapath.daemon.gateway
 
+import io.netty.util.concurrent.ScheduledFuture
 import org.guavapath.core.fleet.RetryPolicy
 import org.guavapath.core.results.DispatchCode
 import org.guavapath.core.time.MonotonicTime
@@ -9,7 +10,8 @@
 /**
  * Handles one admitted request from its first dispatch to its response.
  *
- * Responds at the latest when the caller's deadline or the route's timeout expires, whichever is first.
+ * Responds at the latest when the route's timeout expires, or so soon before the caller's deadline that the caller
+ * still hears of it; a response that has begun may go on until the deadline.
  */
 internal class Exchange(
     private val context: ExchangeContext,
@@ -23,16 +25,16 @@
     private val completion = ExchangeCompletion(context, admitted, sink, relay)
     private val attempts = AttemptHandler(context, admitted, sink, relay, completion).attempts
     private val running get() = attempts.running
+    private var timer: ScheduledFuture<*>? = null
 
     override val progress: ExchangeProgress
         get() = ExchangeProgress(attempts.sends, running.current?.choice?.record?.entry?.id?.text, relay.hasBegun)
 
     /** Sends the request to its first replica. */
     fun start() {
-        val remaining = maxOf(1, (admitted.dueAt - MonotonicTime.now()).inWholeMilliseconds)
-        val timer = context.loop.schedule({ onTimeout() }, remaining, TimeUnit.MILLISECONDS)
+        startTimer(admitted.refuseAt)
         completion.onEnd = {
-            timer.cancel(false)
+            timer?.cancel(false)
             attempts.isOver = true
             context.running.remove(this)
         }
@@ -65,7 +67,13 @@
     /** Ends the request as the process stops: refuses it, or breaks off its response if that has begun. */
     fun endForStop() = end(Refusal(DispatchCode.Draining, "the gateway has stopped"))
 
+    private fun startTimer(at: MonotonicTime) {
+        val remaining = maxOf(1, (at - MonotonicTime.now()).inWholeMilliseconds)
+        timer = context.loop.schedule({ onTimeout() }, remaining, TimeUnit.MILLISECONDS)
+    }
+
     private fun onTimeout() {
+        if (relay.hasBegun && MonotonicTime.now() < admitted.dueAt) return startTimer(admitted.dueAt)
         val code = if (running.current != null) DispatchCode.EndpointTimeout else DispatchCode.DeadlinePassed
         end(Refusal(code, "the time is over"))
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -11,6 +11,7 @@
 import org.guavapath.core.quota.RetryBudget
 import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Target service of a request, and the store of cached prompt parts if there is one. */
 internal class Destination(val service: FleetService, val cacheStore: CacheStore?)
@@ -36,6 +37,20 @@
 
     /** When the response is due: the caller's deadline or the end of the route's timeout, whichever is first. */
     val dueAt: MonotonicTime = minOf(request.deadline, request.receivedAt + route.timeout)
+
+    /** When the request is refused if no part of the response was relayed; the caller gets that before its deadline. */
+    val refuseAt: MonotonicTime = minOf(dueAt, request.receivedAt + timeToRefuse)
+
+    private val timeToRefuse: Duration
+        get() = (request.deadline - request.receivedAt).let { it - minOf(RETURN_TIME, it / RETURN_SHARE) }
+
+    private companion object {
+        /** Covers the way to the caller and back. */
+        val RETURN_TIME = 30.milliseconds
+
+        /** Part of a short deadline that is left to the way. */
+        const val RETURN_SHARE = 10
+    }
 }
 
 /** Services that the gateway provides to exchanges. */
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/SilentReplicaTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/SilentReplicaTest.kt
@@ -9,6 +9,7 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Runs a gateway with replicas that send nothing for a while in the middle of their responses. */
 class SilentReplicaTest {
@@ -72,7 +73,23 @@
         assertTrue(response.isServed)
     }
 
+    /** Guards against a refusal at the caller's deadline, which reaches it when it has left. */
+    @Test
+    fun callersHearBeforeTheirDeadlineThatTheirTimeIsOver() = OutspokenFleet(gateways = 1, replicas = 1).use { fleet ->
+        fleet.follow(Script({ LONG_SILENCE }), SILENCE)
+        val requests = listOf(SampleRoute.PROMPTS, SampleRoute.LOOKUPS, SampleRoute.ORDERS).map { route ->
+            SampleRequest(route, "1", "{}", if (route == SampleRoute.PROMPTS) listOf("1a", "2b") else emptyList())
+        }
+        requests.map { fleet.send(it) }.map { it.get() }.forEach { response ->
+            assertEquals(504, response.status, "${response.request.route}")
+            assertTrue(response.elapsed < DEADLINE, "${response.request.route}: after ${response.elapsed}")
+        }
+    }
+
     private companion object {
+        /** The deadline of the sample requests. */
+        val DEADLINE = 2.seconds
+
         /** A sound replica may send nothing for a second or so. */
         val SILENCE = 1_200.milliseconds
 
