Cached parts of a workspace are not shared any more once a configuration has isolated it

Cause: the salt of shared parts depended on model and weights only. A workspace that a configuration isolates got a salt of its own, but the others went on under the salt under which it had left its parts, in replicas and in the store of cached parts (WALL). A request that was sent again kept the isolation of the configuration by which it had been admitted.

What callers saw: nothing; requests of other workspaces ran on parts that an isolated workspace had made.

Change: the shared salt names the isolated workspaces of the configuration in force, so that a gateway that isolates a workspace never uses a salt under which that workspace was sent as shared, in whatever order gateways apply, skip or copy versions. The scope is taken from the configuration in force at each send, also after a wait for a permit. Without isolated workspaces the salt is the one of the build before.

Price: when the set of isolated workspaces changes, shared parts are prefilled again once.

Not covered by a test: the change while a request waits for a permit. Not changed: when isolation is taken away, the shared salt of before returns, with parts that gateways had made as shared before they applied the isolation.

--- a/core/src/main/kotlin/org/guavapath/core/fleet/FleetConfiguration.kt
+++ b/core/src/main/kotlin/org/guavapath/core/fleet/FleetConfiguration.kt
@@ -180,6 +180,9 @@
     private val workspaceByKey = workspaces.orEmpty()
         .flatMap { workspace -> workspace.keys.map { it to workspace } }
         .toMap()
+    private val isolated = workspaces.orEmpty().filter { it.isIsolated }.map { it.name }.toSet()
+    private val sharing = workspaces.orEmpty().map { it.name }.toSet() - isolated
+    private val sharedScope = CacheScope.Shared(isolated)
 
     /** Returns the route with the longest prefix of [path] on [host], null if none matches. */
     public fun route(host: String, path: String): FleetRoute? =
@@ -190,4 +193,12 @@
 
     /** Returns the workspace of the key with [hash], null if the key is not valid. */
     public fun workspace(hash: KeyHash): FleetWorkspace? = workspaceByKey[hash]
+
+    /**
+     * Returns who uses the cached prompt parts of a request of [workspace], null for a request without a key.
+     *
+     * A workspace that is not listed, as it has been removed since the request arrived, shares nothing.
+     */
+    public fun cacheScope(workspace: WorkspaceName?): CacheScope =
+        if (workspace == null || workspace in sharing) sharedScope else CacheScope.Owned(workspace)
 }
--- a/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/Placement.kt
@@ -7,6 +7,7 @@
  */
 package org.guavapath.core.placement
 
+import org.guavapath.core.fleet.CacheScope
 import org.guavapath.core.fleet.CacheStore
 import org.guavapath.core.fleet.PromptShape
 import org.guavapath.core.fleet.ReplicaId
@@ -14,7 +15,6 @@
 import org.guavapath.core.fleet.WeightsNumber
 import org.guavapath.core.identity.FailureDomainName
 import org.guavapath.core.identity.ModelName
-import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.core.weights.ReplacedWeightsPolicy
 import org.guavapath.core.weights.Staleness
@@ -28,7 +28,7 @@
  *
  * @property service the service that the request goes to
  * @property prompt the prompt's shape, null for plain requests
- * @property cacheOwner the only workspace whose cached parts may be used, null if parts may be shared
+ * @property cacheScope which workspaces' cached parts may be used, and which may use those of this request
  * @property excluded replicas that were already tried
  * @property cacheStore the store of cached parts, null if there is none
  * @property closed replicas that take no further request now, but from which cached parts may be fetched
@@ -36,7 +36,7 @@
 public data class PlacementRequest(
     public val service: ServiceName,
     public val prompt: PromptShape?,
-    public val cacheOwner: WorkspaceName?,
+    public val cacheScope: CacheScope,
     public val excluded: Set<ReplicaId>,
     public val cacheStore: CacheStore?,
     public val closed: Set<ReplicaId> = emptySet(),
@@ -211,7 +211,7 @@
         }
 
         private fun sourcesOf(prompt: PromptShape, number: WeightsNumber?): Pair<PromptPath, PromptSources> {
-            val path = PromptPath.of(cacheSalt(request.cacheOwner, prompt.model, number), prompt.parts)
+            val path = PromptPath.of(request.cacheScope.salt(prompt.model, number), prompt.parts)
             return path to PromptSources(replicas, directory, path, holders, request.cacheStore, now)
         }
     }
--- a/core/src/test/kotlin/org/guavapath/core/placement/PlacementTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/placement/PlacementTest.kt
@@ -1,5 +1,6 @@
 package org.guavapath.core.placement
 
+import org.guavapath.core.fleet.CacheScope
 import org.guavapath.core.fleet.CacheStore
 import org.guavapath.core.fleet.PromptPart
 import org.guavapath.core.fleet.PromptShape
@@ -56,8 +57,12 @@
         listOf(PromptPart(shared, sharedTokens), PromptPart(unique, tokens = 2_000)),
     )
 
+    private fun owned(workspace: String) = CacheScope.Owned(WorkspaceName(workspace))
+
+    private fun shared(vararg isolated: String) = CacheScope.Shared(isolated.map { WorkspaceName(it) }.toSet())
+
     private fun request(prompt: PromptShape?, excluded: Set<ReplicaId> = emptySet(), owner: String? = null) =
-        PlacementRequest(service, prompt, owner?.let { WorkspaceName(it) }, excluded, store)
+        PlacementRequest(service, prompt, owner?.let { owned(it) } ?: shared(), excluded, store)
 
     /** Placement on one VM, with its own state of the fleet. */
     private inner class TestVm(entries: List<Replica>, domain: FailureDomainName = here) {
@@ -245,7 +250,7 @@
     @Test
     fun cachedPartsAreFetchedFromTheMostReliableSource() {
         val shape = prompt("a", "own")
-        fun path() = PromptPath.of(cacheSalt(owner = null, model, WeightsNumber(1)), shape.parts)
+        fun path() = PromptPath.of(shared().salt(model, WeightsNumber(1)), shape.parts)
         val cases = listOf(
             Triple("a replica used it recently", 1 to null, "10.0.0.2:80"),
             Triple("a replica used it long ago, the store has it", 6 to 6, "10.0.0.9:1"),
@@ -266,12 +271,19 @@
     fun cachedPartsAreNotSharedAcrossWeightsOrIsolatedWorkspaces() {
         val shape = prompt("a", "own")
         val salts = listOf(
-            cacheSalt(owner = null, model, WeightsNumber(1)),
-            cacheSalt(owner = null, model, WeightsNumber(2)),
-            cacheSalt(WorkspaceName("isolated"), model, WeightsNumber(1)),
-            cacheSalt(WorkspaceName("other"), model, WeightsNumber(1)),
+            shared().salt(model, WeightsNumber(1)),
+            shared().salt(model, WeightsNumber(2)),
+            owned("isolated").salt(model, WeightsNumber(1)),
+            owned("other").salt(model, WeightsNumber(1)),
+            shared("isolated").salt(model, WeightsNumber(1)),
+            shared("isolated").salt(model, WeightsNumber(2)),
+            shared("other").salt(model, WeightsNumber(1)),
+            shared("isolated", "other").salt(model, WeightsNumber(1)),
+            shared("isolatedother").salt(model, WeightsNumber(1)),
         )
         assertEquals(salts.size, salts.map { it.text }.toSet().size)
+        assertEquals(shared("isolated", "other"), shared("other", "isolated"))
+        assertEquals(salts[7], shared("other", "isolated").salt(model, WeightsNumber(1)))
         val vm = TestVm(four)
         val first = vm.choose(request(shape))
         vm.directory.record(checkNotNull(first.path), first.record.entry.id, now)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -3,6 +3,7 @@
 import org.guavapath.core.dispatch.Admission
 import org.guavapath.core.dispatch.AdmissionDecision
 import org.guavapath.core.dispatch.SendHistory
+import org.guavapath.core.fleet.CacheScope
 import org.guavapath.core.fleet.ReplicaId
 import org.guavapath.core.placement.PlacementRequest
 import org.guavapath.core.placement.PlacementResult
@@ -82,11 +83,11 @@
     }
 
     private fun sendToBest(search: Int) {
-        val owner = admitted.workspace?.takeIf { it.isIsolated }?.name
+        val scope = context.cacheScope(admitted.workspace)
         val placementRequest = PlacementRequest(
             admitted.service.name,
             admitted.request.prompt,
-            owner,
+            scope,
             tried,
             admitted.destination.cacheStore,
             context.permits.closedReplicas,
@@ -95,7 +96,7 @@
             is PlacementResult.NoReplica -> onRefused(Refusal(DispatchCode.NoEndpoint, result.reason))
             is PlacementResult.AllClosed -> waitOrRefuse(search)
             is PlacementResult.Chosen ->
-                overloadRefusal(result.chosen)?.let(onRefused) ?: sendIfPermitted(search, result)
+                overloadRefusal(result.chosen)?.let(onRefused) ?: sendIfPermitted(search, result, scope)
         }
     }
 
@@ -118,9 +119,9 @@
     }
 
     /** Sends the request at once if its replica has named no rate, otherwise once there is a permit. */
-    private fun sendIfPermitted(search: Int, result: PlacementResult.Chosen) {
+    private fun sendIfPermitted(search: Int, result: PlacementResult.Chosen, scope: CacheScope) {
         val replica = result.chosen.record.entry
-        val rate = context.fleet.rates.rate(replica.incarnation) ?: return send(search, result)
+        val rate = context.fleet.rates.rate(replica.incarnation) ?: return send(search, result, scope)
         context.permits.request(replica) { decision ->
             val isGranted = decision is PermitDecision.Granted
             context.telemetry.metrics.count("guavapath.gateway.permits", "granted", isGranted.toString())
@@ -129,7 +130,7 @@
             }
             when {
                 isOver -> Unit
-                decision is PermitDecision.Granted -> ifStillWanted(search) { send(search, result) }
+                decision is PermitDecision.Granted -> ifStillWanted(search) { send(search, result, scope) }
                 else -> ifStillWanted(search) { sendToBest(search) }
             }
         }
@@ -160,10 +161,11 @@
         attempt.isCountedAsRun = true
     }
 
-    private fun send(search: Int, result: PlacementResult.Chosen) {
-        // The replica may have said something since it was chosen, while the request waited for a permit.
+    private fun send(search: Int, result: PlacementResult.Chosen, scope: CacheScope) {
+        // While the request waited for a permit, its replica or the configuration may have changed.
         val replica = result.chosen.record
-        if (replica.entry.isDraining || context.availability.refusal(replica.entry) != null) return sendToBest(search)
+        val isTaken = !replica.entry.isDraining && context.availability.refusal(replica.entry) == null
+        if (!isTaken || scope != context.cacheScope(admitted.workspace)) return sendToBest(search)
         history.sent()
         tried.add(result.chosen.record.entry.id)
         val namedRate = context.fleet.rates.rate(result.chosen.record.entry.incarnation)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -1,7 +1,9 @@
 package org.guavapath.daemon.gateway
 
 import io.netty.channel.EventLoop
+import org.guavapath.core.fleet.CacheScope
 import org.guavapath.core.fleet.CacheStore
+import org.guavapath.core.fleet.FleetConfiguration
 import org.guavapath.core.fleet.FleetRequest
 import org.guavapath.core.fleet.FleetRoute
 import org.guavapath.core.fleet.FleetService
@@ -58,6 +60,9 @@
     /** Number of gateways in the fleet, this one included. */
     val fleetSize: Int
 
+    /** The configuration in force, null before the first. */
+    val configuration: FleetConfiguration?
+
     /** Keeps prompts that crash replicas away from them. */
     val quarantine: QuarantineTask
 
@@ -126,6 +131,11 @@
     fun maxConnectionsFor(service: FleetService): Int =
         maxOf(MIN_CONNECTIONS, service.connectionLimit / host.fleetSize)
 
+    /** Returns who uses the cached prompt parts of a request of [workspace] that is sent now. */
+    fun cacheScope(workspace: FleetWorkspace?): CacheScope =
+        checkNotNull(host.configuration) { "a request was admitted without a configuration" }
+            .cacheScope(workspace?.name)
+
     /** Reports that a request was sent to a replica, so that the other gateways learn of the load soon. */
     fun requestSent() = host.requestSent()
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import org.guavapath.core.fleet.FleetConfiguration
 import org.guavapath.core.identity.Incarnation
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.store.ObjectStore
@@ -99,6 +100,7 @@
     private var replicasUpdate: Job? = null
 
     override val fleetSize: Int get() = members.fleetSize
+    override val configuration: FleetConfiguration? get() = operator.configuration
 
     override fun requestSent() = publisher.scheduleUpdates()
 
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/OutspokenFleet.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/OutspokenFleet.kt
@@ -14,7 +14,8 @@
 
 /** Linked gateways with outspoken [replicas]; the store is in memory. */
 internal class OutspokenFleet(gateways: Int, replicas: Int) : AutoCloseable {
-    private val store = MemoryStore(SampleFleet("$LOOPBACK:1"))
+    private val sample = SampleFleet("$LOOPBACK:1")
+    private val store = MemoryStore(sample)
     private val settings = linkedSettings(gateways)
     private val running = settings.map { Gateway(it.read(), CountingStore(store)) }
     private val callers = SampleCallers()
@@ -45,6 +46,12 @@
         store.write(StoreKinds.WEIGHTS, SampleFleet.WEIGHTS_NAME, SampleFleet.weights(number))
     }
 
+    /** Stores the configuration with [version] and [workspaces], each with whether it is isolated. */
+    fun configure(version: Int, workspaces: Map<String, Boolean>) {
+        val configuration = sample.configuration(version, workspaces)
+        store.write(StoreKinds.CONFIGURATIONS, SampleFleet.CONFIGURATION_NAME, configuration)
+    }
+
     /** Sends [request] to the gateway with the index [gateway]. */
     fun send(request: SampleRequest, gateway: Int = 0): Future<CallerResponse> =
         callers.send(settings[gateway].callers, request)
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/OutspokenReplica.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/OutspokenReplica.kt
@@ -8,8 +8,12 @@
 import kotlin.time.TimeSource
 import kotlin.time.TimeSource.Monotonic.ValueTimeMark
 
-/** A request, a report query or an order that reached a replica, with the first line of its head and its [id]. */
-internal class ReplicaArrival(val line: String, val id: String?, val at: ValueTimeMark) {
+/**
+ * A request, a report query or an order that reached a replica, with the first line of its head and its [id].
+ *
+ * @property salt the salt of its cached parts, null if it has none
+ */
+internal class ReplicaArrival(val line: String, val id: String?, val salt: String?, val at: ValueTimeMark) {
     /** Whether it is a request of a caller. */
     val isRequest: Boolean get() = SampleRoute.entries.any { it.pathPrefix in line }
 }
@@ -43,7 +47,7 @@
 
     private fun respond(head: List<String>): String {
         val id = SampleFleet.attemptIdIn(head)
-        all += ReplicaArrival(head.first(), id, TimeSource.Monotonic.markNow())
+        all += ReplicaArrival(head.first(), id, SampleRequest.saltIn(head), TimeSource.Monotonic.markNow())
         val text = when {
             id == null -> SampleFleet.stateResponse(isLoading = false)
             else -> response(id) ?: success(id, isStream = SampleRoute.PROMPTS.pathPrefix in head.first())
