Attempts beside a silent one are counted, and none that has ended is waited for

A replacement that is given up because the silent attempt goes on may have run, and was not counted, so that a replica that pauses again and again could have a request sent to more replicas than its route allows. A retry was taken from the budget each time that a silence was noticed, also if the request was then not sent anywhere; now a retry that was taken serves for the next send. A silent attempt whose connection has closed, and whose replica is being examined, was waited for. A plain response that pauses midway was taken from its replica before another one was found; now that holds only for streams within their first event.

Evidence: SilentReplicaTest and GatewayTest hold; no test shows the four cases.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AttemptHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AttemptHandler.kt
@@ -93,7 +93,7 @@
         context.telemetry.log.attemptSilent(admitted, attempt, relay.hasBegun, mayRetry)
         when {
             running.isReplacing -> onSilentReplacement(attempt, mayRetry)
-            mayRetry && !relay.hasBegun && attempt.progress.bodyBytes > 0 ->
+            mayRetry && attempt.part.isWithinFirstEvent ->
                 sendNext(attempt, "bytes but no event within the time limit")
             mayRetry -> {
                 running.fellSilent(attempt)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -33,6 +33,9 @@
     private val quarantine = QuarantineRefusals(context, admitted)
     private var searches = 0
 
+    /** Whether a retry was taken from the budget for which the request has not been sent yet. */
+    private var hasRetry = false
+
     /** The attempts that have not ended. */
     val running = RunningAttempts { attempt, reason -> context.telemetry.log.attemptEnded(admitted, attempt, reason) }
     val sends: Int get() = history.sends
@@ -64,6 +67,7 @@
     fun advanced(attempt: Attempt) {
         if (running.silent == null) return
         searches += 1
+        listOfNotNull(running.silent, running.current).forEach(::countPossibleRun)
         running.advanced(attempt)
     }
 
@@ -152,7 +156,9 @@
      */
     fun mayRetry(hasArrived: Boolean): Boolean {
         val hasTime = admitted.dueAt - MonotonicTime.now() > MIN_TIME_FOR_RETRY
-        return history.allowsAnotherSend && hasTime && (!hasArrived || context.takeRetry(admitted.service))
+        if (!history.allowsAnotherSend || !hasTime || !hasArrived) return history.allowsAnotherSend && hasTime
+        hasRetry = hasRetry || context.takeRetry(admitted.service)
+        return hasRetry
     }
 
     /** Records that the replica of [attempt] may have run the request; each attempt counts once. */
@@ -167,6 +173,7 @@
         val isTaken = !replica.entry.isDraining && context.availability.refusal(replica.entry) == null
         if (!isTaken || scope != context.cacheScope(admitted.workspace)) return sendToBest(search)
         history.sent()
+        hasRetry = false
         tried.add(result.chosen.record.entry.id)
         val namedRate = context.fleet.rates.rate(result.chosen.record.entry.incarnation)
         context.telemetry.log.dispatched(admitted, result, history.sends, namedRate, context.fleet.weights)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseRelay.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseRelay.kt
@@ -17,6 +17,9 @@
 
 /** The part of a response that arrives from one replica. */
 internal interface ResponsePart {
+    /** Whether bytes have arrived but no whole event of a stream of which nothing was relayed. */
+    val isWithinFirstEvent: Boolean
+
     /** Sets the head; it is not relayed once the response has begun. */
     fun offerHead(offered: ResponseHead)
 
@@ -66,6 +69,8 @@
         private var head: ResponseHead? = null
         private val body = BodyBuffer()
 
+        override val isWithinFirstEvent: Boolean get() = false
+
         override fun offerHead(offered: ResponseHead) {
             head = offered
         }
@@ -106,6 +111,8 @@
         private val assembler = EventAssembler()
         private var head: ResponseHead? = null
 
+        override val isWithinFirstEvent: Boolean get() = !hasBegun && assembler.hasPartialEvent
+
         override fun offerHead(offered: ResponseHead) {
             head = offered
         }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RunningAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RunningAttempts.kt
@@ -19,7 +19,7 @@
         private set
 
     /** Whether a replacement of [silent] was sent. */
-    val isReplacing: Boolean get() = silent != null && silent !== current
+    val isReplacing: Boolean get() = silent?.isRunning == true && silent !== current
 
     /** Whether [attempt] has not ended. */
     operator fun contains(attempt: Attempt): Boolean = attempt === current || attempt === silent
@@ -57,7 +57,7 @@
 
     /** Waits for [silent] to go on, as there is no replacement; returns false if there is no such attempt. */
     fun fallBack(): Boolean {
-        val kept = silent ?: return false
+        val kept = silent?.takeIf { it.isRunning } ?: return false
         current = kept
         silent = null
         kept.silence.awaitMore()
