An exception while a replica is chosen, or sent a request, answers the request

It was kept in the future of the loop's task, which nobody reads: no line in the log, and no answer until the time was over.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -9,6 +9,7 @@
 import org.guavapath.core.placement.PlacementResult
 import org.guavapath.core.placement.ScoredReplica
 import org.guavapath.core.results.DispatchCode
+import org.guavapath.core.results.ProgramCode
 import org.guavapath.core.throttling.PermitDecision
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.pipeline.Refusal
@@ -82,7 +83,10 @@
             isOver || search != searches -> Unit
             admitted.dueAt - MonotonicTime.now() < MIN_TIME_TO_BEGIN ->
                 onRefused(Refusal(DispatchCode.DeadlinePassed, "no time is left"))
-            else -> then()
+            else -> runCatching(then).onFailure {
+                context.telemetry.log.stateChange("request failed", "error" to it.stackTraceToString())
+                onRefused(Refusal(ProgramCode.InternalError))
+            }
         }
     }
 
