Requests that arrive after a stop has ended the others are refused

A pipelined request, or one whose body was completed in the last second of a stop, was still sent to a replica and cut when the process ended.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
@@ -51,6 +51,7 @@
     }
 
     private fun admit(request: IncomingRequest): AdmittedRequest {
+        if (connections.isStopped) refuse(Refusal(DispatchCode.Draining, retryAfter = STARTUP_RETRY_AFTER))
         val configuration = operator.configuration
             ?: refuse(Refusal(DispatchCode.NotConfigured, retryAfter = STARTUP_RETRY_AFTER))
         request.validate()?.let { refuse(Refusal(RequestCode.MalformedHttp, it)) }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerConnections.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerConnections.kt
@@ -8,6 +8,10 @@
     var isDraining = false
         private set
 
+    /** Whether requests are refused, as the process is about to end. */
+    var isStopped = false
+        private set
+
     /** Adds a connection that was accepted. */
     fun opened(connection: CallerConnection) {
         open.add(connection)
@@ -23,6 +27,11 @@
         isDraining = true
     }
 
+    /** Refuses requests from now on. */
+    fun stop() {
+        isStopped = true
+    }
+
     /** Closes connections without a request and returns the number of open ones. */
     fun closeIdle(): Int {
         open.toList().forEach { it.closeIfIdle() }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -153,6 +153,7 @@
             withContext(scope.coroutineContext) {
                 admission.connections.drain()
                 withTimeoutOrNull(settings.drainTimeout - SHUTDOWN_MARGIN) { drainConnections() }
+                admission.connections.stop()
                 exchanges.running.toList().forEach { it.endForStop() }
                 withTimeoutOrNull(SHUTDOWN_MARGIN) { members.leave { membersView.objects } }
                 admission.connections.reportStop()
