--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AttemptHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AttemptHandler.kt
@@ -76,11 +76,11 @@
         val reason = "the endpoint answered $status"
         val canBeRelayed = !relay.hasBegun && status !in NOT_RUN_STATUSES
         when {
-            event.head.isServerError && attempt === running.silent -> endAttempt(attempt, reason)
+            event.head.isServerError && attempt === running.silent -> running.end(attempt, reason)
             event.head.isServerError && attempts.mayRetry(hasArrived = true) -> sendNext(attempt, reason)
             canBeRelayed -> completion.forwardFailure(event, attempts.sends)
             else -> {
-                endAttempt(attempt, reason)
+                running.end(attempt, reason)
                 fallBackOrFail(Refusal(DispatchCode.OutcomeUnknown, reason))
             }
         }
@@ -120,25 +120,20 @@
     private fun retryOrFail(attempt: Attempt, code: DispatchCode, reason: String, hasArrived: Boolean = true) {
         if (completion.hasEnded || attempt !in running) return
         when {
-            attempt === running.silent -> endAttempt(attempt, reason)
+            attempt === running.silent -> running.end(attempt, reason)
             attempts.mayRetry(hasArrived) -> sendNext(attempt, reason)
             else -> {
-                endAttempt(attempt, reason)
+                running.end(attempt, reason)
                 fallBackOrFail(Refusal(code, reason))
             }
         }
     }
 
     private fun sendNext(former: Attempt, reason: String) {
-        endAttempt(former, reason)
+        running.end(former, reason)
         attempts.sendNext()
     }
 
-    private fun endAttempt(attempt: Attempt, reason: String) {
-        running.giveUp(attempt, reason)
-        running.ended(attempt)
-    }
-
     /** Waits for the silent attempt if there is one, which may go on; otherwise ends the request. */
     private fun fallBackOrFail(refusal: Refusal) {
         if (!running.fallBack()) completion.fail(refusal, attempts)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RunningAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RunningAttempts.kt
@@ -21,7 +21,7 @@
     /** Whether a replacement of [silent] was sent. */
     val isReplacing: Boolean get() = silent?.isRunning == true && silent !== current
 
-    /** Whether [attempt] has not ended. */
+    /** Whether [attempt] is one of these. */
     operator fun contains(attempt: Attempt): Boolean = attempt === current || attempt === silent
 
     /** Records that [attempt] is sent; [silent] is kept beside it if [keepsSilent], and given up otherwise. */
@@ -46,13 +46,10 @@
         silent = null
     }
 
-    /** Records that [attempt] has ended; returns whether it leaves the request without its newest attempt. */
-    fun ended(attempt: Attempt): Boolean = when {
-        attempt === silent -> {
-            silent = null
-            false
-        }
-        else -> attempt === current
+    /** Ends [attempt], which gives no whole response. */
+    fun end(attempt: Attempt, reason: String) {
+        giveUp(attempt, reason)
+        if (attempt === silent) silent = null
     }
 
     /** Waits for [silent] to go on, as there is no replacement; returns false if there is no such attempt. */
@@ -64,7 +61,7 @@
         return true
     }
 
-    /** Cancels [attempt]. */
+    /** Cancels [attempt] and records the [reason]. */
     fun giveUp(attempt: Attempt, reason: String) {
         attempt.cancel()
         onGivenUp(attempt, reason)
