One decoder call for a request's headers, one line for a failed request

The headers of a request were decoded in three places of AdmissionHandler, two of them the same to the letter, and the line "request failed" was written in two classes. No change of behaviour.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
@@ -28,13 +28,10 @@
     override val connections = CallerConnections()
     override val callerLimits: CallerLimits get() = operator.configuration?.callerLimits ?: STARTUP_CALLER_LIMITS
 
-    override fun failed(cause: Throwable) =
-        context.telemetry.log.stateChange("request failed", "error" to cause.stackTraceToString())
+    override fun failed(cause: Throwable) = context.telemetry.log.requestFailed(cause)
 
     override fun leftUnanswered(unanswered: UnansweredRequests) {
-        val ids = unanswered.requests.map { request ->
-            RequestCodec.decode({ request.headers.get(it) }, request.receivedAt).getOrElse { null }?.id?.text
-        }
+        val ids = unanswered.requests.map { decode(it).getOrElse { null }?.id?.text }
         val version = operator.configuration?.version
         context.telemetry.log.unanswered(unanswered, ids, version, operator.configuredAt)
         context.telemetry.metrics.count("guavapath.gateway.unanswered", "end", unanswered.end.name.lowercase())
@@ -45,7 +42,7 @@
         exchange.start()
         exchange
     } catch (refused: RefusedException) {
-        val id = RequestCodec.decode({ request.headers.get(it) }, request.receivedAt).getOrElse { null }?.id
+        val id = decode(request).getOrElse { null }?.id
         refuse(refused, id, request, sink)
         null
     }
@@ -57,8 +54,7 @@
         request.validate()?.let { refuse(Refusal(RequestCode.MalformedHttp, it)) }
         val route = configuration.route(request.host, request.path) ?: refuse(Refusal(RequestCode.RouteNotFound))
         val workspace = workspace(configuration, route, request)
-        val decoded = RequestCodec.decode({ request.headers.get(it) }, request.receivedAt)
-            .getOrElse { refuse(Refusal(RequestCode.InvalidRequest, it)) }
+        val decoded = decode(request).getOrElse { refuse(Refusal(RequestCode.InvalidRequest, it)) }
         val service = route.targetFor(decoded.id)?.let { configuration.services[it] }
             ?: refuse(Refusal(DispatchCode.NoEndpoint))
         val cost = workspace?.let { charge(it, decoded) } ?: 0
@@ -66,6 +62,8 @@
         return AdmittedRequest(request, decoded, route, destination, workspace, cost)
     }
 
+    private fun decode(request: IncomingRequest) = RequestCodec.decode({ request.headers.get(it) }, request.receivedAt)
+
     private fun workspace(
         configuration: FleetConfiguration,
         route: FleetRoute,
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -84,7 +84,7 @@
             admitted.dueAt - MonotonicTime.now() < MIN_TIME_TO_BEGIN ->
                 onRefused(Refusal(DispatchCode.DeadlinePassed, "no time is left"))
             else -> runCatching(then).onFailure {
-                context.telemetry.log.stateChange("request failed", "error" to it.stackTraceToString())
+                context.telemetry.log.requestFailed(it)
                 onRefused(Refusal(ProgramCode.InternalError))
             }
         }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/LossLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/LossLog.kt
@@ -4,6 +4,10 @@
 import org.guavapath.core.fleet.FleetVersion
 import org.guavapath.core.time.MonotonicTime
 
+/** Logs a failure of this program that ends a request. */
+internal fun GatewayLog.requestFailed(cause: Throwable) =
+    stateChange("request failed", "error" to cause.stackTraceToString())
+
 /** Logs an attempt on which nothing arrives, and whether the request may be sent to another replica. */
 internal fun GatewayLog.attemptSilent(
     admitted: AdmittedRequest,
