Log and count what replicas send beside the response to the pending request

Nothing told a response that was skipped, or that arrived unasked, from none. Each now leaves the line 'stray response' (kind, the id expected and received, status, signature, replica, connection, requests that it has carried) and counts in guavapath.gateway.stray.responses. 'ended' and 'attempt ended' name the replica, the connection and its requests.

No change of behaviour. Heads that hold parts of two responses are recognized and logged, and still relayed.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -79,6 +79,12 @@
     /** Whether it has neither ended nor been cancelled. */
     val isRunning: Boolean get() = !hasEnded
 
+    /** The local port of its connection, null if it was not handed to one. */
+    val port: Int? get() = call?.port
+
+    /** Number of requests that its connection has carried, null if it was not handed to one. */
+    val carried: Int? get() = call?.carried
+
     /** Whether the exchange has counted this attempt as possibly run. */
     var isCountedAsRun = false
     val startedAt = MonotonicTime.now()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AttemptHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AttemptHandler.kt
@@ -64,7 +64,7 @@
                 attempts.advanced(attempt)
                 context.requestQuarantine.answered(admitted.key)
                 admitted.request.prompt?.let { context.quarantine.answered(it) }
-                completion.succeed(event.head.status, attempts.sends)
+                completion.succeed(attempt, event.head.status, attempts.sends)
             }
             else -> retryOrFail(attempt, DispatchCode.OutcomeUnknown, "the stream ended within an event")
         }
@@ -78,7 +78,7 @@
         when {
             event.head.isServerError && attempt === running.silent -> running.end(attempt, reason)
             event.head.isServerError && attempts.mayRetry(hasArrived = true) -> sendNext(attempt, reason)
-            canBeRelayed -> completion.forwardFailure(event, attempts.sends)
+            canBeRelayed -> completion.forwardFailure(attempt, event, attempts.sends)
             else -> {
                 running.end(attempt, reason)
                 fallBackOrFail(Refusal(DispatchCode.OutcomeUnknown, reason))
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeCompletion.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeCompletion.kt
@@ -22,13 +22,14 @@
     /** Called once when the request has ended. */
     var onEnd: () -> Unit = {}
 
-    /** Records that the whole response was relayed. */
-    fun succeed(status: Int, sends: Int) = finish(ExchangeResult(Served, relay.summary(), status), sends)
+    /** Records that the whole response was relayed, whose last part was that of [attempt]. */
+    fun succeed(attempt: Attempt, status: Int, sends: Int) =
+        finish(ExchangeResult(Served, relay.summary(), status, attempt), sends)
 
-    /** Relays a replica's unsuccessful response. */
-    fun forwardFailure(event: AttemptEvent.Complete, sends: Int) {
+    /** Relays a replica's unsuccessful response to [attempt]. */
+    fun forwardFailure(attempt: Attempt, event: AttemptEvent.Complete, sends: Int) {
         sink.writeFull(event.response, event.rejection)
-        finish(ExchangeResult(Served, "relayed ${event.head.status}", event.head.status), sends)
+        finish(ExchangeResult(Served, "relayed ${event.head.status}", event.head.status, attempt), sends)
     }
 
     /** Records that the caller closed its connection. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -138,6 +138,7 @@
         scope.launch { quarantine.run(scope) }
         scope.launch { requestQuarantine.run() }
         pool.onHead = availability::responded
+        pool.onStray = { replica, stray -> telemetry.stray(replica.id, stray) }
         scope.launch { availability.run() }
         scope.launch { namedRates.run(scope) }
         scope.launch { permits.run() }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -105,6 +105,8 @@
         "afterMs" to (MonotonicTime.now() - attempt.startedAt).inWholeMilliseconds,
         "headMs" to attempt.progress.headAt?.let { (it - attempt.startedAt).inWholeMilliseconds },
         "firstBytesMs" to attempt.progress.firstBytesAt?.let { (it - attempt.startedAt).inWholeMilliseconds },
+        "connection" to attempt.port,
+        "connectionRequests" to attempt.carried,
         "bodyBytes" to attempt.progress.bodyBytes,
         "failureShare" to attempt.choice.record.health.recentFailures,
         "reason" to reason,
@@ -131,6 +133,20 @@
         )
     }
 
+    /** Logs a response of [replica] that belongs to another request than the pending one, or to none. */
+    fun stray(replica: ReplicaId, stray: StrayResponse) = write(
+        "stray response",
+        "kind" to stray.kind.label,
+        "requestId" to stray.expected?.text,
+        "receivedId" to stray.head?.request?.text,
+        "receivedStatus" to stray.head?.status,
+        "isSigned" to stray.head?.isSigned,
+        "replica" to replica.text,
+        "connection" to stray.port,
+        "connectionRequests" to stray.carried,
+        "detail" to stray.detail,
+    )
+
     /** Logs the end of an admitted request. */
     fun ended(admitted: AdmittedRequest, result: ExchangeResult, sends: Int, firstEventAt: MonotonicTime?) = write(
         "ended",
@@ -142,6 +158,9 @@
         "status" to result.status,
         "detail" to result.detail,
         "sends" to sends,
+        "replica" to result.attempt?.choice?.record?.entry?.id?.text,
+        "connection" to result.attempt?.port,
+        "connectionRequests" to result.attempt?.carried,
         "firstEventMs" to firstEventAt?.let { since(admitted.request, it) },
         "milliseconds" to since(admitted.request, MonotonicTime.now()),
     )
@@ -172,6 +191,12 @@
         metrics.cutOff(cutOff.attempt.progress)
     }
 
+    /** Records a response of [replica] that belongs to another request than the pending one, or to none. */
+    fun stray(replica: ReplicaId, stray: StrayResponse) {
+        log.stray(replica, stray)
+        metrics.count("guavapath.gateway.stray.responses", "kind", stray.kind.label)
+    }
+
     /** Records the end of an admitted request. */
     fun ended(admitted: AdmittedRequest, result: ExchangeResult, sends: Int, firstEventAt: MonotonicTime?) {
         log.ended(admitted, result, sends, firstEventAt)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelPipeline
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
@@ -10,7 +11,9 @@
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
@@ -18,6 +21,7 @@
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.platform.wire.ReplicaResponseHead
 import org.guavapath.platform.wire.ResponseCodec
+import java.net.InetSocketAddress
 
 /** Receives the response to one request to a replica. All calls are made on the event loop. */
 internal interface ReplicaResponseListener {
@@ -48,10 +52,12 @@
  * next one. The connection is closed if bytes arrive while no request is pending.
  *
  * @param onHead called with the head of each response, also of one that is skipped or was not expected
+ * @param onStray called with each response that belongs to another request or to none
  * @param onIdle called when the connection can be used again
  */
 internal class ReplicaConnection(
     private val onHead: (ReplicaResponseHead) -> Unit = {},
+    private val onStray: (StrayResponse) -> Unit = {},
     private val onIdle: (ReplicaConnection, ReplicaResponseHead) -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private var listener: ReplicaResponseListener? = null
@@ -64,6 +70,12 @@
     private var failure: String? = null
     private lateinit var channel: Channel
 
+    /** The requests that were sent on this connection. */
+    val carried = CarriedRequests()
+
+    /** The local port, which tells connections to one replica apart; null before the connection is open. */
+    val port: Int? get() = (channel.localAddress() as? InetSocketAddress)?.port
+
     /** When the connection became idle; connections that were idle for too long are not reused. */
     var idleSince = MonotonicTime.ZERO
 
@@ -84,10 +96,16 @@
         channel = context.channel()
     }
 
+    /** Adds the handlers of an HTTP connection and this one to [pipeline]. */
+    fun install(pipeline: ChannelPipeline) {
+        pipeline.addLast(HttpRequestEncoder(), HttpResponseDecoder(), this)
+    }
+
     /** Sends [request]; the response must name [id] unless it is null. */
     fun send(request: FullHttpRequest, id: RequestId?, listener: ReplicaResponseListener) {
         this.listener = listener
         expectedId = id
+        carried.add(id)
         skippedBytes = 0
         isWritten = false
         channel.writeAndFlush(request).addListener { isWritten = it.isSuccess }
@@ -106,7 +124,10 @@
         }
         decoded?.let(onHead)
         when {
-            listener == null -> fail("received bytes while no request was pending")
+            listener == null -> {
+                if (failure == null) stray(StrayKind.UNASKED, decoded)
+                fail("received bytes while no request was pending")
+            }
             decodingError != null -> fail("the answer is not HTTP: ${decodingError.message}")
             skippedBytes > MAX_SKIPPED_BYTES -> fail("more than $MAX_SKIPPED_BYTES bytes of other responses")
             else -> {
@@ -122,7 +143,10 @@
             isSkipping = true
             return
         }
+        val ambiguity = ResponseCodec.ambiguity(response.status().reasonPhrase(), response.headers())
+        if (ambiguity != null) stray(StrayKind.AMBIGUOUS, decoded, ambiguity)
         val isForAnotherRequest = expectedId != null && decoded.request != expectedId
+        if (isForAnotherRequest) stray(strayKind(decoded.request), decoded)
         isReusable = isReusable && HttpUtil.isKeepAlive(response) && !isForAnotherRequest &&
             isFramed(response.headers())
         isSkipping = isForAnotherRequest
@@ -131,6 +155,15 @@
         listener?.head(decoded, response.headers())
     }
 
+    private fun strayKind(named: RequestId?): StrayKind = when (named) {
+        null -> StrayKind.UNNAMED
+        in carried -> StrayKind.REPEATED
+        else -> StrayKind.UNKNOWN
+    }
+
+    private fun stray(kind: StrayKind, head: ReplicaResponseHead?, detail: String? = null) =
+        onStray(StrayResponse(kind, expectedId.takeIf { listener != null }, head, detail, port, carried.count))
+
     private fun readContent(content: HttpContent) {
         val bytes = content.content()
         if (!isSkipping && bytes.isReadable) listener?.body(ByteBufUtil.getBytes(bytes))
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
@@ -8,8 +8,6 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpRequestEncoder
-import io.netty.handler.codec.http.HttpResponseDecoder
 import jdk.net.ExtendedSocketOptions
 import org.guavapath.core.connections.SilencePolicy
 import org.guavapath.core.connections.SilenceWatch
@@ -32,6 +30,12 @@
     /** Whether the request was handed to a connection. */
     val isConnected: Boolean get() = connection != null
 
+    /** The local port of the connection, null if the request was not handed to one. */
+    val port: Int? get() = connection?.port
+
+    /** Number of requests that the connection has carried, null if the request was not handed to one. */
+    val carried: Int? get() = connection?.carried?.count
+
     /** Called when nothing has arrived on a connection that was in use before. */
     internal var onSilent: () -> Unit = {}
 
@@ -68,6 +72,9 @@
     /** Called with the head of each response of a replica. */
     var onHead: (Replica, ReplicaResponseHead) -> Unit = { _, _ -> }
 
+    /** Called with each response of a replica that belongs to another request than the pending one, or to none. */
+    var onStray: (Replica, StrayResponse) -> Unit = { _, _ -> }
+
     /** Number of connections opened so far. */
     var opened = 0L
         private set
@@ -135,9 +142,11 @@
     ) {
         pooled.open += 1
         opened += 1
-        val connection = ReplicaConnection(onHead = { onHead(request.replica, it) }) { connection, head ->
-            recycle(request.replica.id, pooled, connection, head)
-        }
+        val connection = ReplicaConnection(
+            onHead = { onHead(request.replica, it) },
+            onStray = { onStray(request.replica, it) },
+            onIdle = { connection, head -> recycle(request.replica.id, pooled, connection, head) },
+        )
         val address = SocketAddress.of(request.replica.address)
         val connecting = bootstrap(connection).connect(address.host, address.port)
         connecting.channel().closeFuture().addListener {
@@ -192,7 +201,7 @@
         .handler(
             object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(HttpRequestEncoder(), HttpResponseDecoder(), connection)
+                    connection.install(channel.pipeline())
                 }
             },
         )
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseSink.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseSink.kt
@@ -31,5 +31,14 @@
     fun refuse(refusal: Refusal, id: RequestId?)
 }
 
-/** Outcome of a request for the log and the metrics. */
-internal class ExchangeResult(val code: ResultCode, val detail: String, val status: Int)
+/**
+ * Outcome of a request for the log and the metrics.
+ *
+ * @property attempt the attempt whose response was relayed, null if there is none
+ */
+internal class ExchangeResult(
+    val code: ResultCode,
+    val detail: String,
+    val status: Int,
+    val attempt: Attempt? = null,
+)
