--- /dev/null
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
@@ -0,0 +1,98 @@
+package org.guavapath.daemon.gateway
+
+import org.guavapath.platform.wire.SampleFleet
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class ReplicaConnectionTest {
+    private fun success(id: String?, body: String = "success") = SampleFleet.plainResponse(id, body)
+
+    private fun failure(id: String?, body: String = "failure") =
+        SampleFleet.plainResponse(id, body, status = "500 Internal Server Error")
+
+    private fun result(request: DrivenRequest): String = when (val delivery = request.delivery) {
+        is Delivery.Whole -> "${delivery.status} ${delivery.body}"
+        is Delivery.Failed -> "failed"
+        null -> "pending"
+    }
+
+    /** A failure that does not name its request was skipped, and a success behind it was relayed in its place. */
+    @Test
+    fun neverRelaysASuccessBehindAFailure() {
+        val cases = listOf(
+            Triple("without an id", failure(null), "failed"),
+            Triple("with an id that the connection has not carried", failure("other"), "failed"),
+            Triple("with the id in another case", failure("SECOND"), "failed"),
+            Triple("with two ids", failure("other\r\n$ID_NAME: second"), "failed"),
+            Triple("with the id", failure("second"), "500 failure"),
+        )
+        for ((name, first, expected) in cases) {
+            val driven = DrivenConnection()
+            driven.send("first").also { driven.receive(success("first")) }
+            val request = driven.send("second")
+            driven.receive(first)
+            driven.receive(success("second"))
+            assertEquals(expected, result(request), name)
+        }
+    }
+
+    /** A response that was broken off within its head gave its status to the next response on the connection. */
+    @Test
+    fun neverTakesTheStatusOfAResponseThatWasBrokenOff() {
+        val late = success("first", "late")
+        for (length in 1 until late.length) {
+            val driven = DrivenConnection()
+            driven.send("first").also { driven.receive(success("first")) }
+            val request = driven.send("second")
+            driven.receive(late.take(length))
+            driven.receive(failure("second"))
+            driven.close()
+            assertIs<Delivery.Failed>(request.delivery, "broken off after ${late.take(length)}")
+        }
+    }
+
+    /** Half of a head that arrived between two requests was joined to the response to the second one. */
+    @Test
+    fun closesWhenBytesArriveWhileNoRequestIsPending() {
+        val late = success("first", "late")
+        for (length in 1..late.length) {
+            for (isBehindResponse in listOf(true, false)) {
+                val driven = DrivenConnection()
+                driven.send("first")
+                val unasked = late.take(length)
+                if (isBehindResponse) {
+                    driven.receive(success("first") + unasked)
+                } else {
+                    driven.receive(success("first"))
+                    driven.receive(unasked)
+                }
+                assertEquals(false to false, driven.isIdle to driven.isOpen, "$unasked, $isBehindResponse")
+            }
+        }
+    }
+
+    @Test
+    fun skipsLateResponsesToEarlierRequests() {
+        val interim = "HTTP/1.1 103 Early Hints\r\n\r\n"
+        val cases = listOf(
+            "a repeated response" to success("first", "late"),
+            "a repeated response with another status" to failure("first", "late"),
+            "two of them" to success("first", "late") + failure("first", "later"),
+            "an informational response" to interim,
+            "an informational response behind a repeated one" to success("first", "late") + interim,
+        )
+        for ((name, before) in cases) {
+            val driven = DrivenConnection()
+            driven.send("first").also { driven.receive(success("first")) }
+            val request = driven.send("second")
+            driven.receive(before)
+            driven.receive(success("second", "own"))
+            assertEquals("200 own", result(request), name)
+        }
+    }
+
+    private companion object {
+        val ID_NAME = SampleFleet.attemptIdHeader("").first
+    }
+}
