Only a response to a request that had its response is skipped

Callers got a success in place of a failure: a failure that names no request, or one that the connection has never carried, was skipped as if it were an earlier request's late response, and the success behind it was relayed; for requests that may run once too.

A response may be skipped only if it is known to be no answer to the pending request, that is if it names a request which the connection has carried (and, as it carries one at a time, which had its response). Any other one ends the attempt with an unknown outcome and closes the connection.

ReplicaPoolTest had a row 'a late response to an earlier request' whose response named a request that the connection had not carried, and expected what follows it; it is replaced by a row with a real earlier request, and one that expects the unknown response to fail the request.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -48,8 +48,9 @@
 /**
  * One connection to a replica, with at most one request at a time.
  *
- * A response that names another request is skipped: replicas may send a duplicate response late, in place of the
- * next one. The connection is closed if bytes arrive while no request is pending.
+ * Replicas may send a response again, late, in place of the next one: a response that names a request which had its
+ * response on this connection is skipped. Any other response that does not name the pending request fails it: what the
+ * replica has answered is unknown then. The connection is closed if bytes arrive while no request is pending.
  *
  * @param onHead called with the head of each response, also of one that is skipped or was not expected
  * @param onStray called with each response that belongs to another request or to none
@@ -145,12 +146,12 @@
         }
         val ambiguity = ResponseCodec.ambiguity(response.status().reasonPhrase(), response.headers())
         if (ambiguity != null) stray(StrayKind.AMBIGUOUS, decoded, ambiguity)
-        val isForAnotherRequest = expectedId != null && decoded.request != expectedId
-        if (isForAnotherRequest) stray(strayKind(decoded.request), decoded)
-        isReusable = isReusable && HttpUtil.isKeepAlive(response) && !isForAnotherRequest &&
-            isFramed(response.headers())
-        isSkipping = isForAnotherRequest
-        if (isForAnotherRequest) return
+        val strayKind = if (decoded.request == expectedId) null else strayKind(decoded.request)
+        if (strayKind != null) stray(strayKind, decoded)
+        isSkipping = strayKind == StrayKind.REPEATED
+        if (strayKind != null && !isSkipping) return fail("the response does not name the request: ${strayKind.label}")
+        isReusable = isReusable && HttpUtil.isKeepAlive(response) && !isSkipping && isFramed(response.headers())
+        if (isSkipping) return
         head = decoded
         listener?.head(decoded, response.headers())
     }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
@@ -116,9 +116,10 @@
             Triple("a second response after the first", { id: String -> response(id) + response("other") }, "second"),
             Triple(
                 "a late response to an earlier request",
-                { id: String -> response("other") + response(id) },
+                { id: String -> if (id == "second") response("first") + response(id) else response(id) },
                 "second",
             ),
+            Triple("a response to an unknown request", { id: String -> response("other") + response(id) }, "broken"),
             Triple("no request id", { _: String -> "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx$CLOSE" }, "broken"),
             Triple("a truncated response", { id: String -> response(id).dropLast(1) + CLOSE }, "broken"),
             Triple("not HTTP", { _: String -> "rubbish\r\n\r\n$CLOSE" }, "broken"),
