A head that holds parts of two responses fails its request

Callers got a success in place of a failure: a response that is broken off within its reason phrase ('HTTP/1.1 200 O'), or within a header's value, and the next one on the connection ('HTTP/1.1 500 ...', the request's id, its signature and body) were decoded as one head with the status of the first.

A status line within the reason phrase or a header, and more than one id or signature, show that a head is not that of one response; what the replica has answered is unknown then, and the connection is closed. Any head that runs into a second whole one holds the second's status line, wherever the first was cut: in a header's name it is refused by the decoder already. 101 fails the request, as the gateway asks for no other protocol.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
@@ -50,7 +51,7 @@
  *
  * Replicas may send a response again, late, in place of the next one: a response that names a request which had its
  * response on this connection is skipped. Any other response that does not name the pending request fails it: what the
- * replica has answered is unknown then. The connection is closed if bytes arrive while no request is pending.
+ * replica has answered is unknown then, and so it is if a head holds parts of two responses. The connection is closed if bytes arrive while no request is pending.
  *
  * @param onHead called with the head of each response, also of one that is skipped or was not expected
  * @param onStray called with each response that belongs to another request or to none
@@ -140,12 +141,16 @@
     }
 
     private fun readHead(response: HttpResponse, decoded: ReplicaResponseHead) {
+        val ambiguity = ResponseCodec.ambiguity(response.status().reasonPhrase(), response.headers())
+        if (ambiguity != null) {
+            stray(StrayKind.AMBIGUOUS, decoded, ambiguity)
+            return fail("the response is ambiguous: $ambiguity")
+        }
+        if (response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) return fail("the replica switches protocols")
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             isSkipping = true
             return
         }
-        val ambiguity = ResponseCodec.ambiguity(response.status().reasonPhrase(), response.headers())
-        if (ambiguity != null) stray(StrayKind.AMBIGUOUS, decoded, ambiguity)
         val strayKind = if (decoded.request == expectedId) null else strayKind(decoded.request)
         if (strayKind != null) stray(strayKind, decoded)
         isSkipping = strayKind == StrayKind.REPEATED
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
@@ -52,6 +52,28 @@
         }
     }
 
+    /** A head with parts of two responses was relayed if the first of its ids was the right one. */
+    @Test
+    fun neverRelaysAHeadOfTwoResponses() {
+        val (idName, id) = SampleFleet.attemptIdHeader("second")
+        val plain = success("second", "body")
+        val statusLine = "HTTP/1.1 500 Internal Server Error"
+        val cases = listOf(
+            "a status line in the reason phrase" to plain.replace("200 OK", "200 OK$statusLine"),
+            "a status line in a header" to plain.replace("Content-Length", "Content-Type: text/$statusLine\r\nContent-Length"),
+            "two ids" to plain.replace("Content-Length", "$idName: other\r\nContent-Length"),
+            "the same id twice" to plain.replace("Content-Length", "$idName: $id\r\nContent-Length"),
+            "two lengths" to plain.replace("Content-Length", "Content-Length: 3\r\nContent-Length"),
+            "another protocol" to plain.replace("200 OK", "101 Switching Protocols"),
+        )
+        for ((name, response) in cases) {
+            val driven = DrivenConnection()
+            val request = driven.send("second")
+            driven.receive(response)
+            assertEquals("failed", result(request), name)
+        }
+    }
+
     /** Half of a head that arrived between two requests was joined to the response to the second one. */
     @Test
     fun closesWhenBytesArriveWhileNoRequestIsPending() {
