A decoder of responses lasts as long as its request

Callers could get a success in place of a failure, or a response that was not their own: bytes that arrived between two requests were noticed only once they made a whole head. Half a head, or the rest of a response behind the one that was awaited, stayed in the connection's decoder and was joined to the response to the next request. And the decoder did not know that a response to a HEAD request ends with its head, so that it took what followed for its body.

Each request has a decoder of its own. When its response is complete the decoder is removed; what it has not decoded, and all that arrives before the next request, reaches the connection as bytes, which then closes. The decoder asks which method the request had that a response names. A response with both a length and chunks is refused.

The rows 'a length and chunks' and the test with HEAD are new, and were not run on the code before.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -1,5 +1,6 @@
 package org.guavapath.daemon.gateway
 
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
@@ -10,10 +11,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
@@ -61,7 +62,8 @@
     private val onHead: (ReplicaResponseHead) -> Unit = {},
     private val onStray: (StrayResponse) -> Unit = {},
     private val onIdle: (ReplicaConnection, ReplicaResponseHead) -> Unit,
-) : SimpleChannelInboundHandler<HttpObject>() {
+) : SimpleChannelInboundHandler<Any>() {
+    private var decoder: ReplicaResponseDecoder? = null
     private var listener: ReplicaResponseListener? = null
     private var expectedId: RequestId? = null
     private var head: ReplicaResponseHead? = null
@@ -100,14 +102,17 @@
 
     /** Adds the handlers of an HTTP connection and this one to [pipeline]. */
     fun install(pipeline: ChannelPipeline) {
-        pipeline.addLast(HttpRequestEncoder(), HttpResponseDecoder(), this)
+        pipeline.addLast(HttpRequestEncoder(), this)
     }
 
-    /** Sends [request]; the response must name [id] unless it is null. */
+    /** Sends [request]; the response must name [id], or no request if it is null. */
     fun send(request: FullHttpRequest, id: RequestId?, listener: ReplicaResponseListener) {
         this.listener = listener
         expectedId = id
-        carried.add(id)
+        carried.add(id, request.method())
+        val decoder = ReplicaResponseDecoder { carried.wasSentWith(HttpMethod.HEAD, decode(it).request) }
+        this.decoder = decoder
+        channel.pipeline().addBefore(channel.pipeline().context(this).name(), null, decoder)
         skippedBytes = 0
         isWritten = false
         channel.writeAndFlush(request).addListener { isWritten = it.isSuccess }
@@ -119,17 +124,23 @@
         channel.close()
     }
 
-    override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
-        val decodingError = message.decoderResult().cause()
-        val decoded = (message as? HttpResponse)?.takeIf { decodingError == null }?.let { response ->
-            ResponseCodec.decode(response.status().code()) { response.headers().getAll(it) }
-        }
-        decoded?.let(onHead)
+    override fun channelRead0(context: ChannelHandlerContext, message: Any) {
         when {
-            listener == null -> {
-                if (failure == null) stray(StrayKind.UNASKED, decoded)
+            failure != null -> Unit
+            message is HttpObject && listener != null -> read(message)
+            else -> {
+                val count = (message as? ByteBuf)?.readableBytes() ?: 0
+                stray(StrayKind.UNASKED, head = null, "$count bytes")
                 fail("received bytes while no request was pending")
             }
+        }
+    }
+
+    private fun read(message: HttpObject) {
+        val decodingError = message.decoderResult().cause()
+        val decoded = (message as? HttpResponse)?.takeIf { decodingError == null }?.let(::decode)
+        decoded?.let(onHead)
+        when {
             decodingError != null -> fail("the answer is not HTTP: ${decodingError.message}")
             skippedBytes > MAX_SKIPPED_BYTES -> fail("more than $MAX_SKIPPED_BYTES bytes of other responses")
             else -> {
@@ -140,6 +151,9 @@
         }
     }
 
+    private fun decode(response: HttpResponse) =
+        ResponseCodec.decode(response.status().code()) { response.headers().getAll(it) }
+
     private fun readHead(response: HttpResponse, decoded: ReplicaResponseHead) {
         val ambiguity = ResponseCodec.ambiguity(response.status().reasonPhrase(), response.headers())
         if (ambiguity != null) {
@@ -183,10 +197,17 @@
         listener = null
         head = null
         isReading = true
-        if (isReusable && isWritten) onIdle(this, response) else channel.close()
+        removeDecoder()
+        if (isReusable && isWritten && failure == null) onIdle(this, response) else channel.close()
         receiver.complete()
     }
 
+    /** Has what arrived behind the response, also half a head, reach this handler undecoded. */
+    private fun removeDecoder() {
+        decoder?.let { channel.pipeline().remove(it) }
+        decoder = null
+    }
+
     private fun fail(reason: String) {
         if (failure != null) return
         failure = reason
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
@@ -1,5 +1,6 @@
 package org.guavapath.daemon.gateway
 
+import io.netty.handler.codec.http.HttpMethod
 import org.guavapath.platform.wire.SampleFleet
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -64,6 +65,8 @@
             "two ids" to plain.replace("Content-Length", "$idName: other\r\nContent-Length"),
             "the same id twice" to plain.replace("Content-Length", "$idName: $id\r\nContent-Length"),
             "two lengths" to plain.replace("Content-Length", "Content-Length: 3\r\nContent-Length"),
+            "a length and chunks" to success("second", "4\r\nbody\r\n0\r\n\r\n")
+                .replace("Content-Length", "Transfer-Encoding: chunked\r\nContent-Length"),
             "another protocol" to plain.replace("200 OK", "101 Switching Protocols"),
         )
         for ((name, response) in cases) {
@@ -94,6 +97,19 @@
         }
     }
 
+    /** What followed the head of the response to a HEAD request was taken for its body. */
+    @Test
+    fun readsNoBodyAfterTheHeadOfAResponseToAHeadRequest() {
+        val head = success("first", "0123456789").substringBefore("0123456789")
+        val driven = DrivenConnection()
+        val first = driven.send("first", HttpMethod.HEAD)
+        driven.receive(head)
+        assertEquals("200 ", result(first))
+        val second = driven.send("second")
+        driven.receive(head + success("second", "own"))
+        assertEquals("200 own", result(second))
+    }
+
     @Test
     fun skipsLateResponsesToEarlierRequests() {
         val interim = "HTTP/1.1 103 Early Hints\r\n\r\n"
