No connection carries a request twice

An id names a request and not an attempt: on a connection that has carried it, a late response to the first attempt would pass for that to the second. One request is not sent twice to one replica today ('tried'), so that no caller was seen to be hit; the pool passes over such a connection, and the connection refuses the request.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -105,8 +105,13 @@
         pipeline.addLast(HttpRequestEncoder(), this)
     }
 
-    /** Sends [request]; the response must name [id], or no request if it is null. */
+    /**
+     * Sends [request]; the response must name [id], or no request if it is null.
+     *
+     * @throws IllegalArgumentException if the connection has carried [id]
+     */
     fun send(request: FullHttpRequest, id: RequestId?, listener: ReplicaResponseListener) {
+        require(id == null || id !in carried) { "the connection has carried the request $id" }
         this.listener = listener
         expectedId = id
         carried.add(id, request.method())
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
@@ -83,7 +83,7 @@
     fun send(request: ReplicaRequest, listener: ReplicaResponseListener): PooledCall {
         val call = PooledCall()
         val pooled = connectionsTo(request.replica)
-        val idle = takeIdle(pooled, request.maxIdle)
+        val idle = takeIdle(pooled, request)
         when {
             idle != null -> {
                 call.attach(idle)
@@ -122,13 +122,15 @@
         return ConnectionSet(replica.address).also { connections[replica.id] = it }
     }
 
-    private fun takeIdle(pooled: ConnectionSet, maxIdle: Duration): ReplicaConnection? {
+    private fun takeIdle(pooled: ConnectionSet, request: ReplicaRequest): ReplicaConnection? {
         val now = MonotonicTime.now()
         while (pooled.idle.isNotEmpty()) {
             val newest = pooled.idle.removeLast()
             val idleFor = now - newest.idleSince
-            val isRecent = idleFor <= minOf(maxIdle, newest.idleTimeout)
-            if (newest.isIdle && isRecent && pooled.silence.mayUse(newest.idleSince)) return newest
+            val isRecent = idleFor <= minOf(request.maxIdle, newest.idleTimeout)
+            val isUsable = newest.isIdle && isRecent && pooled.silence.mayUse(newest.idleSince)
+            // On a connection that has carried the request, a late response to it would pass for a new one.
+            if (isUsable && (request.id == null || request.id !in newest.carried)) return newest
             newest.close()
         }
         return null
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
@@ -4,6 +4,7 @@
 import org.guavapath.platform.wire.SampleFleet
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.test.assertIs
 
 class ReplicaConnectionTest {
@@ -110,6 +111,13 @@
         assertEquals("200 own", result(second))
     }
 
+    @Test
+    fun neverCarriesARequestTwice() {
+        val driven = DrivenConnection()
+        driven.send("first").also { driven.receive(success("first")) }
+        assertFailsWith<IllegalArgumentException> { driven.send("first") }
+    }
+
     @Test
     fun skipsLateResponsesToEarlierRequests() {
         val interim = "HTTP/1.1 103 Early Hints\r\n\r\n"
