Calls of the gateway's own have connections of their own

Reports and orders went on the connections of callers' requests and accepted any response: a late response to a caller's request passed for a report, or for the answer to an order, and the call's own answer arrived while the connection carried the next request. No caller got a wrong response by that, as responses to requests name them; replicas could be taken for loaded or busy.

A late report only repeats what the replica has reported before.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -107,7 +107,7 @@
             admitted.request.id,
             if (admitted.route.retryPolicy.mayRunAgain) RETRYABLE_MAX_IDLE else NON_RETRYABLE_MAX_IDLE,
             context.maxConnectionsFor(admitted.service),
-            refusal,
+            refusal = refusal,
         )
         call = context.pool.send(request, this)
         if (hasEnded) call?.cancel()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaControlClient.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaControlClient.kt
@@ -32,6 +32,9 @@
 /**
  * Makes the gateway's own calls to replicas: report queries and orders to load weights.
  *
+ * Responses to calls name no request. Each order therefore has a connection of its own, so that no late response to another
+ * call passes for that to the order; one to an earlier query tells what the replica has reported before.
+ *
  * A replica that leaves, or has named a time before which it takes nothing of this gateway, gets none of them.
  */
 internal class ReplicaControlClient(
@@ -61,12 +64,14 @@
         permits.count(replica)
         val sentAt = MonotonicTime.now()
         val receiver = Receiver(response) { namedRates.responded(replica, it, sentAt) }
-        val request =
-            ReplicaRequest(replica, http, id = null, MAX_IDLE, MAX_CONNECTIONS) { availability.refusal(replica) }
+        val isOrder = method == HttpMethod.POST
+        val request = ReplicaRequest(replica, http, id = null, MAX_IDLE, MAX_CONNECTIONS, isOrder) {
+            availability.refusal(replica)
+        }
         val call = pool.send(request, receiver)
         val result = withTimeoutOrNull(timeout) { response.await() }
             ?: Err(CallFailure.NoAnswer("no response within $timeout")).also { call.reportSilence() }
-        if (result.isErr) call.cancel()
+        if (result.isErr || isOrder) call.cancel()
         return result
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
@@ -59,15 +59,26 @@
     }
 }
 
-/** Connection pool for all replicas; confined to one event loop. */
+/**
+ * Connection pool for all replicas; confined to one event loop.
+ *
+ * Callers' requests and the gateway's own calls use different connections: responses to calls name no request, so that a
+ * late response to a request could not be told from that to a call.
+ */
 internal class ReplicaPool(private val loop: EventLoop) {
-    private class ConnectionSet(val address: String) {
+    private class ConnectionSet(val silence: SilenceWatch) {
         val idle = ArrayDeque<ReplicaConnection>()
-        val silence = SilenceWatch()
         var open = 0
     }
 
-    private val connections = HashMap<ReplicaId, ConnectionSet>()
+    /** All connections to one address of a replica. */
+    private class ReplicaConnections(val address: String) {
+        private val silence = SilenceWatch()
+        val forRequests = ConnectionSet(silence)
+        val forCalls = ConnectionSet(silence)
+    }
+
+    private val connections = HashMap<ReplicaId, ReplicaConnections>()
 
     /** Called with the head of each response of a replica. */
     var onHead: (Replica, ReplicaResponseHead) -> Unit = { _, _ -> }
@@ -82,8 +93,9 @@
     /** Sends [request] on a recently used idle connection, or on a new one. */
     fun send(request: ReplicaRequest, listener: ReplicaResponseListener): PooledCall {
         val call = PooledCall()
-        val pooled = connectionsTo(request.replica)
-        val idle = takeIdle(pooled, request)
+        val connections = connectionsTo(request.replica)
+        val pooled = if (request.id == null) connections.forCalls else connections.forRequests
+        val idle = if (request.needsNewConnection) null else takeIdle(pooled, request)
         when {
             idle != null -> {
                 call.attach(idle)
@@ -111,15 +123,15 @@
 
     /** Closes the idle connections to the removed [replica]; those in use close after their response. */
     fun drop(replica: ReplicaId) {
-        val idle = connections.remove(replica)?.idle?.toList().orEmpty()
-        idle.forEach { it.close() }
+        val dropped = connections.remove(replica) ?: return
+        (dropped.forRequests.idle + dropped.forCalls.idle).forEach { it.close() }
     }
 
-    private fun connectionsTo(replica: Replica): ConnectionSet {
+    private fun connectionsTo(replica: Replica): ReplicaConnections {
         val pooled = connections[replica.id]
         if (pooled != null && pooled.address == replica.address) return pooled
         drop(replica.id)
-        return ConnectionSet(replica.address).also { connections[replica.id] = it }
+        return ReplicaConnections(replica.address).also { connections[replica.id] = it }
     }
 
     private fun takeIdle(pooled: ConnectionSet, request: ReplicaRequest): ReplicaConnection? {
@@ -188,7 +200,8 @@
     ) {
         connection.idleSince = MonotonicTime.now()
         connection.idleTimeout = head.keepAlive?.let { it - KEEP_ALIVE_MARGIN } ?: DEFAULT_IDLE_TIMEOUT
-        if (connections[replica] === pooled) pooled.idle.addLast(connection) else connection.close()
+        val isCurrent = connections[replica]?.let { pooled === it.forRequests || pooled === it.forCalls } ?: false
+        if (isCurrent) pooled.idle.addLast(connection) else connection.close()
     }
 
     private fun bootstrap(connection: ReplicaConnection): Bootstrap = Bootstrap()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaRequest.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaRequest.kt
@@ -22,6 +22,7 @@
  * @property id the request id that the response must name, null for the gateway's own calls
  * @property maxIdle longest idle time of a connection that may be reused for it
  * @property maxConnections limit of connections that this VM opens to the replica
+ * @property needsNewConnection whether it must be the first on its connection
  * @property refusal returns why the request should not be sent any more, null if it should; asked when a new connection
  *   is open
  */
@@ -31,6 +32,7 @@
     val id: RequestId?,
     val maxIdle: Duration,
     val maxConnections: Int,
+    val needsNewConnection: Boolean = false,
     val refusal: () -> String? = { null },
 )
 
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/DrivenConnection.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/DrivenConnection.kt
@@ -56,11 +56,13 @@
     val isIdle: Boolean get() = connection.isIdle
     val isOpen: Boolean get() = channel.isOpen
 
-    fun send(id: String, method: HttpMethod = HttpMethod.GET): DrivenRequest {
-        val (name, value) = SampleFleet.attemptIdHeader(id)
-        val http = ReplicaRequests.call(method, "/", DefaultHttpHeaders().set(name, value), body = null)
+    /** Sends the request [id], or a call of the gateway's own if that is null. */
+    fun send(id: String?, method: HttpMethod = HttpMethod.GET): DrivenRequest {
+        val headers = DefaultHttpHeaders()
+        id?.let(SampleFleet::attemptIdHeader)?.let { (name, value) -> headers.set(name, value) }
+        val http = ReplicaRequests.call(method, "/", headers, body = null)
         return DrivenRequest().also {
-            connection.send(http, RequestId(id), it)
+            connection.send(http, id?.let(::RequestId), it)
             channel.releaseOutbound()
         }
     }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
@@ -111,6 +111,15 @@
         assertEquals("200 own", result(second))
     }
 
+    /** A response that names a request was taken for that to a call of the gateway's own. */
+    @Test
+    fun neverTakesAResponseThatNamesARequestForThatToACall() {
+        val driven = DrivenConnection()
+        val call = driven.send(id = null)
+        driven.receive(success("first"))
+        assertEquals("failed", result(call))
+    }
+
     @Test
     fun neverCarriesARequestTwice() {
         val driven = DrivenConnection()
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
@@ -90,11 +90,16 @@
         }
     }
 
-    private fun send(id: String): RecordingListener {
+    private fun send(id: String): RecordingListener = send(RequestId(id), needsNewConnection = false)
+
+    private fun call(needsNewConnection: Boolean) = send(id = null, needsNewConnection)
+
+    private fun send(id: RequestId?, needsNewConnection: Boolean): RecordingListener {
         val listener = RecordingListener()
-        val (name, value) = SampleFleet.attemptIdHeader(id)
+        val (name, value) = SampleFleet.attemptIdHeader(id?.text ?: CALL)
         val http = ReplicaRequests.call(HttpMethod.GET, "/", DefaultHttpHeaders().set(name, value), body = null)
-        loop.execute { pool.send(ReplicaRequest(replica, http, RequestId(id), 5.seconds, MAX_CONNECTIONS), listener) }
+        val request = ReplicaRequest(replica, http, id, 5.seconds, MAX_CONNECTIONS, needsNewConnection)
+        loop.execute { pool.send(request, listener) }
         return listener
     }
 
@@ -133,7 +138,27 @@
         }
     }
 
+    /** A late response to a caller's request, or to another call, was taken for that to an order. */
+    @Test
+    fun sendsCallsOnConnectionsOfTheirOwn() {
+        serve { if (it == CALL) SampleFleet.plainResponse(id = null, body = CALL) else response(it) }
+        val cases = listOf(
+            Triple("a request", { send("first") }, 1L),
+            Triple("a call after a request", { call(needsNewConnection = false) }, 2L),
+            Triple("a call after a call", { call(needsNewConnection = false) }, 2L),
+            Triple("a call that needs a new connection", { call(needsNewConnection = true) }, 3L),
+            Triple("a request after calls", { send("second") }, 3L),
+        )
+        for ((name, send, expectedConnections) in cases) {
+            send().await()
+            assertEquals(expectedConnections, pool.opened, name)
+        }
+    }
+
     private companion object {
+        /** Stands for the id in calls of the gateway's own, which the server tells from requests by it. */
+        const val CALL = "call"
+
         /** Marks a response after which the server closes the connection. */
         const val CLOSE = "\u0000"
     }
