The response to one request is found by a class of its own

PendingResponse has the last two and is made anew for each request; ReplicaRequest says by a sealed class which connections may carry it.

From the review of the fix: what is left of a response when the gateway closes its connection is not counted as unasked any more; the connection of an order is not pooled for the moment between its response and its end (ReplicaPoolTest, row 'a call after that'); what an ambiguous head says (that a replica pauses or leaves) is not taken from it.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -105,9 +105,11 @@
             record.entry,
             ReplicaRequests.forward(admitted.incoming, instructions),
             admitted.request.id,
-            if (admitted.route.retryPolicy.mayRunAgain) RETRYABLE_MAX_IDLE else NON_RETRYABLE_MAX_IDLE,
+            ConnectionChoice.Pooled(
+                if (admitted.route.retryPolicy.mayRunAgain) RETRYABLE_MAX_IDLE else NON_RETRYABLE_MAX_IDLE,
+            ),
             context.maxConnectionsFor(admitted.service),
-            refusal = refusal,
+            refusal,
         )
         call = context.pool.send(request, this)
         if (hasEnded) call?.cancel()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -133,20 +133,6 @@
         )
     }
 
-    /** Logs a response of [replica] that belongs to another request than the pending one, or to none. */
-    fun stray(replica: ReplicaId, stray: StrayResponse) = write(
-        "stray response",
-        "kind" to stray.kind.label,
-        "requestId" to stray.expected?.text,
-        "receivedId" to stray.head?.request?.text,
-        "receivedStatus" to stray.head?.status,
-        "isSigned" to stray.head?.isSigned,
-        "replica" to replica.text,
-        "connection" to stray.port,
-        "connectionRequests" to stray.carried,
-        "detail" to stray.detail,
-    )
-
     /** Logs the end of an admitted request. */
     fun ended(admitted: AdmittedRequest, result: ExchangeResult, sends: Int, firstEventAt: MonotonicTime?) = write(
         "ended",
@@ -193,7 +179,18 @@
 
     /** Records a response of [replica] that belongs to another request than the pending one, or to none. */
     fun stray(replica: ReplicaId, stray: StrayResponse) {
-        log.stray(replica, stray)
+        log.stateChange(
+            "stray response",
+            "kind" to stray.kind.label,
+            "requestId" to stray.expected?.text,
+            "receivedId" to stray.head?.request?.text,
+            "receivedStatus" to stray.head?.status,
+            "isSigned" to stray.head?.isSigned,
+            "replica" to replica.text,
+            "connection" to stray.port,
+            "connectionRequests" to stray.carried,
+            "detail" to stray.detail,
+        )
         metrics.count("guavapath.gateway.stray.responses", "kind", stray.kind.label)
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -1,28 +1,20 @@
 package org.guavapath.daemon.gateway
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.ByteBufUtil
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPipeline
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequestEncoder
-import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpStatusClass
-import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.LastHttpContent
 import org.guavapath.core.identity.RequestId
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.platform.wire.ReplicaResponseHead
-import org.guavapath.platform.wire.ResponseCodec
 import java.net.InetSocketAddress
 
 /** Receives the response to one request to a replica. All calls are made on the event loop. */
@@ -50,11 +42,10 @@
 /**
  * One connection to a replica, with at most one request at a time.
  *
- * Replicas may send a response again, late, in place of the next one: a response that names a request which had its
- * response on this connection is skipped. Any other response that does not name the pending request fails it: what the
- * replica has answered is unknown then, and so it is if a head holds parts of two responses. The connection is closed if bytes arrive while no request is pending.
+ * Replicas may send a response again, late, in place of the next one. Bytes that arrive while no request is pending
+ * therefore close the connection, and a response that does not name the pending request, or one before, fails it.
  *
- * @param onHead called with the head of each response, also of one that is skipped or was not expected
+ * @param onHead called with the head of each response, also of one to another request
  * @param onStray called with each response that belongs to another request or to none
  * @param onIdle called when the connection can be used again
  */
@@ -65,13 +56,9 @@
 ) : SimpleChannelInboundHandler<Any>() {
     private var decoder: ReplicaResponseDecoder? = null
     private var listener: ReplicaResponseListener? = null
-    private var expectedId: RequestId? = null
-    private var head: ReplicaResponseHead? = null
-    private var isSkipping = false
-    private var skippedBytes = 0L
-    private var isReusable = true
+    private var pending: PendingResponse? = null
     private var isWritten = false
-    private var failure: String? = null
+    private var isClosed = false
     private lateinit var channel: Channel
 
     /** The requests that were sent on this connection. */
@@ -94,7 +81,7 @@
         }
 
     /** Whether the connection is open and no request is running on it. */
-    val isIdle: Boolean get() = channel.isActive && listener == null && failure == null
+    val isIdle: Boolean get() = channel.isActive && listener == null && !isClosed
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
@@ -113,97 +100,45 @@
     fun send(request: FullHttpRequest, id: RequestId?, listener: ReplicaResponseListener) {
         require(id == null || id !in carried) { "the connection has carried the request $id" }
         this.listener = listener
-        expectedId = id
         carried.add(id, request.method())
-        val decoder = ReplicaResponseDecoder { carried.wasSentWith(HttpMethod.HEAD, decode(it).request) }
+        pending = PendingResponse(id, carried, listener, Heads(id))
+        val decoder = ReplicaResponseDecoder { carried.wasSentWith(HttpMethod.HEAD, it.decode().request) }
         this.decoder = decoder
         channel.pipeline().addBefore(channel.pipeline().context(this).name(), null, decoder)
-        skippedBytes = 0
         isWritten = false
         channel.writeAndFlush(request).addListener { isWritten = it.isSuccess }
     }
 
     /** Closes the connection, upon which the replica drops the current request; the listener gets no more calls. */
     fun close() {
+        isClosed = true
         listener = null
         channel.close()
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: Any) {
+        val response = pending
         when {
-            failure != null -> Unit
-            message is HttpObject && listener != null -> read(message)
-            else -> {
-                val count = (message as? ByteBuf)?.readableBytes() ?: 0
-                stray(StrayKind.UNASKED, head = null, "$count bytes")
-                fail("received bytes while no request was pending")
+            isClosed -> Unit
+            message is HttpObject && response != null -> when (val state = response.read(message)) {
+                ResponseState.Incomplete -> Unit
+                is ResponseState.Complete -> complete(response, state.head)
+                is ResponseState.Invalid -> fail(state.reason)
             }
-        }
-    }
-
-    private fun read(message: HttpObject) {
-        val decodingError = message.decoderResult().cause()
-        val decoded = (message as? HttpResponse)?.takeIf { decodingError == null }?.let(::decode)
-        decoded?.let(onHead)
-        when {
-            decodingError != null -> fail("the answer is not HTTP: ${decodingError.message}")
-            skippedBytes > MAX_SKIPPED_BYTES -> fail("more than $MAX_SKIPPED_BYTES bytes of other responses")
             else -> {
-                if (message is HttpResponse && decoded != null) readHead(message, decoded)
-                if (isSkipping) skippedBytes += (message as? HttpContent)?.content()?.readableBytes() ?: HEAD_BYTES
-                if (message is HttpContent) readContent(message)
+                Heads(expected = null).unasked((message as? ByteBuf)?.readableBytes() ?: 0)
+                fail("received bytes while no request was pending")
             }
         }
     }
 
-    private fun decode(response: HttpResponse) =
-        ResponseCodec.decode(response.status().code()) { response.headers().getAll(it) }
-
-    private fun readHead(response: HttpResponse, decoded: ReplicaResponseHead) {
-        val ambiguity = ResponseCodec.ambiguity(response.status().reasonPhrase(), response.headers())
-        if (ambiguity != null) {
-            stray(StrayKind.AMBIGUOUS, decoded, ambiguity)
-            return fail("the response is ambiguous: $ambiguity")
-        }
-        if (response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) return fail("the replica switches protocols")
-        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            isSkipping = true
-            return
-        }
-        val strayKind = if (decoded.request == expectedId) null else strayKind(decoded.request)
-        if (strayKind != null) stray(strayKind, decoded)
-        isSkipping = strayKind == StrayKind.REPEATED
-        if (strayKind != null && !isSkipping) return fail("the response does not name the request: ${strayKind.label}")
-        isReusable = isReusable && HttpUtil.isKeepAlive(response) && !isSkipping && isFramed(response.headers())
-        if (isSkipping) return
-        head = decoded
-        listener?.head(decoded, response.headers())
-    }
-
-    private fun strayKind(named: RequestId?): StrayKind = when (named) {
-        null -> StrayKind.UNNAMED
-        in carried -> StrayKind.REPEATED
-        else -> StrayKind.UNKNOWN
-    }
-
-    private fun stray(kind: StrayKind, head: ReplicaResponseHead?, detail: String? = null) =
-        onStray(StrayResponse(kind, expectedId.takeIf { listener != null }, head, detail, port, carried.count))
-
-    private fun readContent(content: HttpContent) {
-        val bytes = content.content()
-        if (!isSkipping && bytes.isReadable) listener?.body(ByteBufUtil.getBytes(bytes))
-        if (content !is LastHttpContent) return
-        if (isSkipping) isSkipping = false else if (failure == null) complete()
-    }
-
-    private fun complete() {
+    private fun complete(response: PendingResponse, head: ReplicaResponseHead) {
         val receiver = listener ?: return
-        val response = checkNotNull(head)
         listener = null
-        head = null
+        pending = null
         isReading = true
         removeDecoder()
-        if (isReusable && isWritten && failure == null) onIdle(this, response) else channel.close()
+        if (response.isReusable && isWritten && !isClosed) onIdle(this, head) else close()
         receiver.complete()
     }
 
@@ -214,30 +149,29 @@
     }
 
     private fun fail(reason: String) {
-        if (failure != null) return
-        failure = reason
         val receiver = listener
-        listener = null
-        channel.close()
+        close()
         receiver?.failed(reason)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        fail("the connection was closed")
+        if (!isClosed) fail("the connection was closed")
     }
 
     /** Called before the decoder takes the reset of a connection for the end of a response without a length. */
     @Deprecated("Deprecated in Netty for outbound handlers only")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        fail(cause.message ?: cause.javaClass.simpleName)
+        if (!isClosed) fail(cause.message ?: cause.javaClass.simpleName)
     }
 
-    private companion object {
-        /** A replica in trouble may send other responses, or informational ones, without end. */
-        const val MAX_SKIPPED_BYTES = 1_048_576L
+    private inner class Heads(private val expected: RequestId?) : HeadListener {
+        override fun received(head: ReplicaResponseHead) = onHead(head)
+
+        override fun stray(kind: StrayKind, head: ReplicaResponseHead, detail: String?) =
+            onStray(StrayResponse(kind, expected, head, detail, port, carried.count))
 
-        /** What a skipped head counts as; most heads are longer. */
-        const val HEAD_BYTES = 64
+        fun unasked(bytes: Int) =
+            onStray(StrayResponse(StrayKind.UNASKED, expected, head = null, "$bytes bytes", port, carried.count))
     }
 }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaControlClient.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaControlClient.kt
@@ -32,8 +32,8 @@
 /**
  * Makes the gateway's own calls to replicas: report queries and orders to load weights.
  *
- * Responses to calls name no request. Each order therefore has a connection of its own, so that no late response to another
- * call passes for that to the order; one to an earlier query tells what the replica has reported before.
+ * Responses to calls name no request. Each order therefore has a connection of its own, so that no late response to
+ * another call passes for that to the order; a late response to a query tells what the replica has reported before.
  *
  * A replica that leaves, or has named a time before which it takes nothing of this gateway, gets none of them.
  */
@@ -64,14 +64,13 @@
         permits.count(replica)
         val sentAt = MonotonicTime.now()
         val receiver = Receiver(response) { namedRates.responded(replica, it, sentAt) }
-        val isOrder = method == HttpMethod.POST
-        val request = ReplicaRequest(replica, http, id = null, MAX_IDLE, MAX_CONNECTIONS, isOrder) {
-            availability.refusal(replica)
-        }
+        val connection = if (method == HttpMethod.POST) ConnectionChoice.New else ConnectionChoice.Pooled(MAX_IDLE)
+        val request =
+            ReplicaRequest(replica, http, id = null, connection, MAX_CONNECTIONS) { availability.refusal(replica) }
         val call = pool.send(request, receiver)
         val result = withTimeoutOrNull(timeout) { response.await() }
             ?: Err(CallFailure.NoAnswer("no response within $timeout")).also { call.reportSilence() }
-        if (result.isErr || isOrder) call.cancel()
+        if (result.isErr) call.cancel()
         return result
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
@@ -13,6 +13,7 @@
 import org.guavapath.core.connections.SilenceWatch
 import org.guavapath.core.fleet.Replica
 import org.guavapath.core.fleet.ReplicaId
+import org.guavapath.core.identity.RequestId
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.platform.wire.ReplicaResponseHead
 import kotlin.time.Duration
@@ -62,8 +63,8 @@
 /**
  * Connection pool for all replicas; confined to one event loop.
  *
- * Callers' requests and the gateway's own calls use different connections: responses to calls name no request, so that a
- * late response to a request could not be told from that to a call.
+ * Callers' requests and the gateway's own calls use different connections: responses to calls name no request, so that
+ * one could not be told from a late response to a request.
  */
 internal class ReplicaPool(private val loop: EventLoop) {
     private class ConnectionSet(val silence: SilenceWatch) {
@@ -76,6 +77,8 @@
         private val silence = SilenceWatch()
         val forRequests = ConnectionSet(silence)
         val forCalls = ConnectionSet(silence)
+
+        operator fun contains(set: ConnectionSet): Boolean = set === forRequests || set === forCalls
     }
 
     private val connections = HashMap<ReplicaId, ReplicaConnections>()
@@ -95,7 +98,10 @@
         val call = PooledCall()
         val connections = connectionsTo(request.replica)
         val pooled = if (request.id == null) connections.forCalls else connections.forRequests
-        val idle = if (request.needsNewConnection) null else takeIdle(pooled, request)
+        val idle = when (val choice = request.connection) {
+            ConnectionChoice.New -> null
+            is ConnectionChoice.Pooled -> takeIdle(pooled, request.id, choice.maxIdle)
+        }
         when {
             idle != null -> {
                 call.attach(idle)
@@ -134,15 +140,15 @@
         return ReplicaConnections(replica.address).also { connections[replica.id] = it }
     }
 
-    private fun takeIdle(pooled: ConnectionSet, request: ReplicaRequest): ReplicaConnection? {
+    /** Takes a connection that has not carried [id]: a late response to it would pass for a new one there. */
+    private fun takeIdle(pooled: ConnectionSet, id: RequestId?, maxIdle: Duration): ReplicaConnection? {
         val now = MonotonicTime.now()
         while (pooled.idle.isNotEmpty()) {
             val newest = pooled.idle.removeLast()
             val idleFor = now - newest.idleSince
-            val isRecent = idleFor <= minOf(request.maxIdle, newest.idleTimeout)
+            val isRecent = idleFor <= minOf(maxIdle, newest.idleTimeout)
             val isUsable = newest.isIdle && isRecent && pooled.silence.mayUse(newest.idleSince)
-            // On a connection that has carried the request, a late response to it would pass for a new one.
-            if (isUsable && (request.id == null || request.id !in newest.carried)) return newest
+            if (isUsable && (id == null || id !in newest.carried)) return newest
             newest.close()
         }
         return null
@@ -159,7 +165,7 @@
         val connection = ReplicaConnection(
             onHead = { onHead(request.replica, it) },
             onStray = { onStray(request.replica, it) },
-            onIdle = { connection, head -> recycle(request.replica.id, pooled, connection, head) },
+            onIdle = { connection, head -> recycle(request, pooled, connection, head) },
         )
         val address = SocketAddress.of(request.replica.address)
         val connecting = bootstrap(connection).connect(address.host, address.port)
@@ -193,15 +199,16 @@
     }
 
     private fun recycle(
-        replica: ReplicaId,
+        request: ReplicaRequest,
         pooled: ConnectionSet,
         connection: ReplicaConnection,
         head: ReplicaResponseHead,
     ) {
         connection.idleSince = MonotonicTime.now()
         connection.idleTimeout = head.keepAlive?.let { it - KEEP_ALIVE_MARGIN } ?: DEFAULT_IDLE_TIMEOUT
-        val isCurrent = connections[replica]?.let { pooled === it.forRequests || pooled === it.forCalls } ?: false
-        if (isCurrent) pooled.idle.addLast(connection) else connection.close()
+        val isPooled = request.connection is ConnectionChoice.Pooled
+        val isCurrent = connections[request.replica.id]?.contains(pooled) ?: false
+        if (isPooled && isCurrent) pooled.idle.addLast(connection) else connection.close()
     }
 
     private fun bootstrap(connection: ReplicaConnection): Bootstrap = Bootstrap()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaRequest.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaRequest.kt
@@ -15,14 +15,22 @@
 import org.guavapath.platform.wire.RequestCodec
 import kotlin.time.Duration
 
+/** Which connections may carry a request. */
+internal sealed class ConnectionChoice {
+    /** A new one, which carries no other request after it. */
+    data object New : ConnectionChoice()
+
+    /** One that was idle for no longer than [maxIdle], or a new one. */
+    class Pooled(val maxIdle: Duration) : ConnectionChoice()
+}
+
 /**
  * A request to a replica.
  *
  * @property http the HTTP request; released by the pool
  * @property id the request id that the response must name, null for the gateway's own calls
- * @property maxIdle longest idle time of a connection that may be reused for it
+ * @property connection which connections may carry it
  * @property maxConnections limit of connections that this VM opens to the replica
- * @property needsNewConnection whether it must be the first on its connection
  * @property refusal returns why the request should not be sent any more, null if it should; asked when a new connection
  *   is open
  */
@@ -30,9 +38,8 @@
     val replica: Replica,
     val http: FullHttpRequest,
     val id: RequestId?,
-    val maxIdle: Duration,
+    val connection: ConnectionChoice,
     val maxConnections: Int,
-    val needsNewConnection: Boolean = false,
     val refusal: () -> String? = { null },
 )
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaResponseDecoder.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaResponseDecoder.kt
@@ -7,8 +7,8 @@
 /**
  * Decodes what arrives on a connection to a replica while one request is pending.
  *
- * Each request has a decoder of its own, so that no state of a decoder outlasts a response: bytes that follow the end of
- * the response leave the decoder undecoded when it is removed.
+ * Each request has a decoder of its own, so that no state of a decoder outlasts a response: bytes that follow the end
+ * of the response leave the decoder undecoded when it is removed.
  *
  * @param hasNoBody whether a response ends with its head whatever its headers say, as that to a HEAD request does
  */
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/DrivenConnection.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/DrivenConnection.kt
@@ -24,6 +24,9 @@
     private val body = BodyBuffer()
     private var status = 0
 
+    /** Called with the head of the response. */
+    var onHead: () -> Unit = {}
+
     var delivery: Delivery? = null
         private set
 
@@ -31,6 +34,7 @@
 
     override fun head(head: ReplicaResponseHead, headers: HttpHeaders) {
         status = head.status
+        onHead()
     }
 
     override fun body(bytes: ByteArray) {
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
@@ -62,7 +62,8 @@
         val statusLine = "HTTP/1.1 500 Internal Server Error"
         val cases = listOf(
             "a status line in the reason phrase" to plain.replace("200 OK", "200 OK$statusLine"),
-            "a status line in a header" to plain.replace("Content-Length", "Content-Type: text/$statusLine\r\nContent-Length"),
+            "a status line in a header" to
+                plain.replace("Content-Length", "Content-Type: text/$statusLine\r\nContent-Length"),
             "two ids" to plain.replace("Content-Length", "$idName: other\r\nContent-Length"),
             "the same id twice" to plain.replace("Content-Length", "$idName: $id\r\nContent-Length"),
             "two lengths" to plain.replace("Content-Length", "Content-Length: 3\r\nContent-Length"),
@@ -120,6 +121,15 @@
         assertEquals("failed", result(call))
     }
 
+    /** What was left of a response when the gateway closed its connection was counted as unasked. */
+    @Test
+    fun countsNothingAfterItsOwnClose() {
+        val driven = DrivenConnection()
+        driven.send("first").onHead = { driven.connection.close() }
+        driven.receive(success("first") + success("first"))
+        assertEquals(emptyList(), driven.strays.map { it.kind })
+    }
+
     @Test
     fun neverCarriesARequestTwice() {
         val driven = DrivenConnection()
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
@@ -90,15 +90,15 @@
         }
     }
 
-    private fun send(id: String): RecordingListener = send(RequestId(id), needsNewConnection = false)
+    private fun send(id: String): RecordingListener = send(RequestId(id), ConnectionChoice.Pooled(5.seconds))
 
-    private fun call(needsNewConnection: Boolean) = send(id = null, needsNewConnection)
+    private fun call(connection: ConnectionChoice) = send(id = null, connection)
 
-    private fun send(id: RequestId?, needsNewConnection: Boolean): RecordingListener {
+    private fun send(id: RequestId?, connection: ConnectionChoice, body: ByteArray? = null): RecordingListener {
         val listener = RecordingListener()
         val (name, value) = SampleFleet.attemptIdHeader(id?.text ?: CALL)
-        val http = ReplicaRequests.call(HttpMethod.GET, "/", DefaultHttpHeaders().set(name, value), body = null)
-        val request = ReplicaRequest(replica, http, id, 5.seconds, MAX_CONNECTIONS, needsNewConnection)
+        val http = ReplicaRequests.call(HttpMethod.POST, "/", DefaultHttpHeaders().set(name, value), body)
+        val request = ReplicaRequest(replica, http, id, connection, MAX_CONNECTIONS)
         loop.execute { pool.send(request, listener) }
         return listener
     }
@@ -144,10 +144,12 @@
         serve { if (it == CALL) SampleFleet.plainResponse(id = null, body = CALL) else response(it) }
         val cases = listOf(
             Triple("a request", { send("first") }, 1L),
-            Triple("a call after a request", { call(needsNewConnection = false) }, 2L),
-            Triple("a call after a call", { call(needsNewConnection = false) }, 2L),
-            Triple("a call that needs a new connection", { call(needsNewConnection = true) }, 3L),
-            Triple("a request after calls", { send("second") }, 3L),
+            Triple("a call after a request", { call(ConnectionChoice.Pooled(5.seconds)) }, 2L),
+            Triple("a call after a call", { call(ConnectionChoice.Pooled(5.seconds)) }, 2L),
+            Triple("a call on a new connection", { call(ConnectionChoice.New) }, 3L),
+            Triple("a call after that", { call(ConnectionChoice.Pooled(5.seconds)) }, 3L),
+            Triple("another call on a new connection", { call(ConnectionChoice.New) }, 4L),
+            Triple("a request after calls", { send("second") }, 4L),
         )
         for ((name, send, expectedConnections) in cases) {
             send().await()
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ResponseStreamTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ResponseStreamTest.kt
@@ -7,7 +7,7 @@
 
 class ResponseStreamTest {
     /** One connection, driven until it closes or all its requests have ended. */
-    private class Run(seed: Int) {
+    private class StutteringRun(seed: Int) {
         private val random = Random(seed)
         private val writer = StutteringWriter(random)
         private val driven = DrivenConnection()
@@ -21,7 +21,7 @@
 
         private val text get() = pieces.joinToString("") { it.text }
 
-        fun run() {
+        fun drive() {
             while (driven.isOpen && (requests.size < REQUESTS || received < text.length)) {
                 val mustSend = received == text.length
                 val maySend = driven.isIdle && requests.size < REQUESTS
@@ -64,13 +64,13 @@
         }
     }
 
-    /** Requests got responses of others, or a success after a failure, from replicas that answer twice or are cut off. */
+    /** Requests got responses of others, or a success after a failure, from replicas that answer twice or break off. */
     @Test
     fun deliversTheFirstWholeResponseThatNamesTheRequestOrNone() {
         val first = Integer.getInteger("guavapath.firstSeed", 1)
         for (seed in first until first + Integer.getInteger("guavapath.seeds", SEEDS)) {
-            val run = Run(seed)
-            run.run()
+            val run = StutteringRun(seed)
+            run.drive()
             runCatching { run.check() }.onFailure { throw AssertionError("seed $seed: ${it.message}", it) }
         }
     }
