A response without a length is not complete if its request was not written

Callers could get a part of a response as a whole success (MIXED): a replica that answers before it has read a long body, without a length, and resets the connection. While the gateway still writes the body, the write sees the reset first, Netty closes the channel without an exception, and the decoder takes that for the end of the response.

A response that ends with its connection is failed if its request was not written whole: that connection did not end in order.

Evidence: ReplicaPoolTest.failsAResponseWithoutALengthThatIsResetBeforeItsRequestIsWritten, 40 connections, 'expected: <[broken]> but was: <[part of the body, broken]>' without the check; with it all fail.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -134,6 +134,8 @@
 
     private fun complete(response: PendingResponse, head: ReplicaResponseHead) {
         val receiver = listener ?: return
+        // The end of the connection is not that of the response if it was reset, which a write may be the first to see.
+        if (!response.isFramed && !isWritten) return fail("the connection was closed before the request was sent")
         listener = null
         pending = null
         isReading = true
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
@@ -157,7 +157,30 @@
         }
     }
 
+    /** A response without a length that was reset passed for a whole one if the request was still being written. */
+    @Test
+    fun failsAResponseWithoutALengthThatIsResetBeforeItsRequestIsWritten() {
+        val head = response("first").substringBefore("Content-Length") + "\r\npart of the body"
+        thread(isDaemon = true) {
+            generateSequence { runCatching { server.accept() }.getOrNull() }.forEach { socket ->
+                socket.getInputStream().read()
+                socket.getOutputStream().write(head.toByteArray())
+                Thread.sleep(RESET_DELAY_MILLISECONDS)
+                socket.setSoLinger(true, 0)
+                socket.close()
+            }
+        }
+        val results = List(RESETS) {
+            send(RequestId("first"), ConnectionChoice.New, ByteArray(LARGE_BODY)).await()
+        }
+        assertEquals(setOf("broken"), results.toSet())
+    }
+
     private companion object {
+        const val RESETS = 40
+        const val RESET_DELAY_MILLISECONDS = 20L
+        const val LARGE_BODY = 4_194_304
+
         /** Stands for the id in calls of the gateway's own, which the server tells from requests by it. */
         const val CALL = "call"
 
