A request whose new connection is closed before it is sent ends as not sent

Requests waited for their time limit although no byte of them was sent: a replica that has no room for a connection resets it, and if it does so between the connection's opening and the next poll of the event loop, the request was written to a closed channel and nobody was told.

The pool looks whether the connection is still open and reports the request as not sent, upon which it may go elsewhere.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
@@ -192,10 +192,14 @@
         call: PooledCall,
     ) {
         val refusal = request.refusal()
-        if (call.attach(connection) && refusal == null) return connection.send(request.http, request.id, listener)
+        val isOpen = connection.isIdle
+        if (call.attach(connection) && refusal == null && isOpen) {
+            return connection.send(request.http, request.id, listener)
+        }
         request.http.release()
         connection.close()
-        if (!call.isCancelled) listener.notSent(refusal.orEmpty(), isOwnDecision = true)
+        if (call.isCancelled) return
+        listener.notSent(refusal ?: "the replica closed the new connection", isOwnDecision = refusal != null)
     }
 
     private fun recycle(
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
@@ -176,8 +176,24 @@
         assertEquals(setOf("broken"), results.toSet())
     }
 
+    /** A request whose new connection was reset before it was sent had no end. */
+    @Test
+    fun endsRequestsWhoseNewConnectionsAreReset() {
+        thread(isDaemon = true) {
+            generateSequence { runCatching { server.accept() }.getOrNull() }.forEach {
+                it.setSoLinger(true, 0)
+                it.close()
+            }
+        }
+        val listeners = List(CONNECTIONS_RESET) { send("request-$it").also { Thread.sleep(1) } }
+        Thread.sleep(1_000)
+        val results = listeners.map { it.result.getNow("no end") }
+        assertEquals(emptyList(), results.filter { it !in setOf("not sent", "broken") })
+    }
+
     private companion object {
         const val RESETS = 40
+        const val CONNECTIONS_RESET = 400
         const val RESET_DELAY_MILLISECONDS = 20L
         const val LARGE_BODY = 4_194_304
 
