Simulation of a stuttering replica: most connections carry several requests

Most of what the replica writes now lets requests go on, half of the segments end with a response, and requests are mostly sent before late bytes arrive.

--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ResponseStream.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ResponseStream.kt
@@ -33,11 +33,24 @@
 internal class StutteringWriter(private val random: Random) {
     private var bodies = 0
 
-    /** Returns what is written after the request [number] has arrived; requests are named by [requestName]. */
+    /**
+     * Returns what is written after the request [number] has arrived; requests are named by [requestName].
+     *
+     * Most requests get nothing that makes them fail, so that connections carry several.
+     */
     fun write(number: Int): List<WrittenPiece> {
-        val before = List(random.nextInt(MAX_BEFORE)) { stray(number) }
-        val after = List(random.nextInt(MAX_AFTER)) { if (random.nextBoolean()) own(number) else stray(number) }
-        return before + own(number) + after
+        val before = List(random.nextInt(MAX_BEFORE)) { if (isRare()) stray(number) else skipped(number) }
+        val after = List(random.nextInt(MAX_AFTER)) { if (isRare()) stray(number) else own(number) }
+        return listOfNotNull(*before.toTypedArray(), own(number), *after.toTypedArray())
+    }
+
+    private fun isRare() = random.nextInt(RARE_SHARE) == 0
+
+    /** Returns something that does not matter to the request [number], null if there is nothing yet. */
+    private fun skipped(number: Int): WrittenPiece? = when {
+        isRare() -> WrittenPiece.Informational("HTTP/1.1 103 Early Hints\r\n\r\n")
+        number == 0 -> null
+        else -> response(requestName(random.nextInt(number)))
     }
 
     private fun own(number: Int) = response(requestName(number))
@@ -46,14 +59,13 @@
         WrittenPiece.Response(id, STATUSES.random(random), nextBody(), random.nextBoolean())
 
     private fun stray(number: Int): WrittenPiece = when (random.nextInt(KINDS_OF_STRAYS)) {
-        0 -> WrittenPiece.Informational("HTTP/1.1 103 Early Hints\r\n\r\n")
-        1 -> WrittenPiece.Invalid(anonymous(id = null))
-        2 -> WrittenPiece.Invalid(anonymous("unknown"))
-        3 -> WrittenPiece.Invalid(anonymous(twoIds(requestName(number), "unknown")))
-        4 -> WrittenPiece.Invalid(anonymous(twoIds("unknown", requestName(number))))
-        5 -> WrittenPiece.Invalid("rubbish\r\n")
-        6 -> brokenOff(requestName(random.nextInt(number + 1)))
-        else -> if (number == 0) brokenOff("unknown") else response(requestName(random.nextInt(number)))
+        0 -> WrittenPiece.Invalid(anonymous(id = null))
+        1 -> WrittenPiece.Invalid(anonymous("unknown"))
+        2 -> WrittenPiece.Invalid(anonymous(twoIds(requestName(number), "unknown")))
+        3 -> WrittenPiece.Invalid(anonymous(twoIds("unknown", requestName(number))))
+        4 -> WrittenPiece.Invalid("rubbish\r\n")
+        5 -> brokenOff(requestName(random.nextInt(number + 1)))
+        else -> brokenOff("unknown")
     }
 
     private fun anonymous(id: String?) = response(id, STATUSES.random(random), nextBody(), random.nextBoolean())
@@ -70,9 +82,10 @@
 
     private companion object {
         val STATUSES = listOf(200, 200, 404, 500, 503)
-        const val MAX_BEFORE = 4
-        const val MAX_AFTER = 3
-        const val KINDS_OF_STRAYS = 10
+        const val MAX_BEFORE = 3
+        const val MAX_AFTER = 2
+        const val RARE_SHARE = 12
+        const val KINDS_OF_STRAYS = 7
     }
 }
 
