A response that takes another one for the rest of its body fails

Callers could get bytes of a failure as the body of a success (MIXED): a response with a length that is broken off within its body takes the bytes of the next one on its connection for the rest, and so does one without a length until the connection closes, and an event of a stream.

A body that holds a status line and headers with such an id, and one whose last bytes begin a status line that the next bytes go on with, fail the response. Bodies that tell of HTTP otherwise stay whole. Not recognized: the same with the end of the body at the end of a segment, and with fewer bytes missing than a status line has.

Evidence: ReplicaConnectionTest.neverTakesTheNextResponseForTheRestOfABody, four kinds of responses cut at each of 300 lengths; without the check 'its own response, broken off after 133 bytes of its body ==> expected: <failed> but was: <200 bbb... HTTP/1.1 500 Internal Server Error'. ReplicaConnectionTest.acceptsBodiesThatHoldHeads.

--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/EmbeddedHeadDetector.kt
@@ -0,0 +1,42 @@
+package org.guavapath.daemon.gateway
+
+import org.guavapath.platform.wire.ResponseCodec
+
+/**
+ * Finds the head of another response within the body of a response.
+ *
+ * A response that is broken off within its body takes the next response on its connection for the rest of that. The
+ * next one names a request that the connection has carried, which a body has no reason to do in the form of a head.
+ */
+internal class EmbeddedHeadDetector(private val carried: CarriedRequests) {
+    /** The end of the body, from where a head may begin that has not ended. */
+    private var tail = ""
+
+    /** Returns whether the body, of which [bytes] are the next part, holds such a head. */
+    fun feed(bytes: ByteArray): Boolean {
+        val text = tail + bytes.toString(Charsets.ISO_8859_1)
+        var start = text.indexOf(HEAD_START)
+        while (start >= 0) {
+            val head = text.substring(start, minOf(text.length, start + MAX_HEAD))
+            if (ResponseCodec.requestNamedIn(head)?.let { it in carried } == true) return true
+            if (ResponseCodec.mayBeginHead(head) && head.length < MAX_HEAD) break
+            start = text.indexOf(HEAD_START, start + 1)
+        }
+        tail = if (start >= 0) text.substring(start) else text.takeLast(HEAD_START.length - 1)
+        return false
+    }
+
+    /** Returns whether [bytes] that follow the whole body continue a head that begins within it. */
+    fun isContinuedBy(bytes: ByteArray): Boolean {
+        val rest = bytes.toString(Charsets.ISO_8859_1)
+        val statusLine = ResponseCodec.firstStatusLine(tail + rest)
+        return statusLine != null && statusLine < tail.length && !rest.startsWith(HEAD_START)
+    }
+
+    private companion object {
+        const val HEAD_START = "HTTP/"
+
+        /** Longer heads are not looked through. */
+        const val MAX_HEAD = 8_192
+    }
+}
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PendingResponse.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PendingResponse.kt
@@ -48,6 +48,7 @@
     private val listener: ReplicaResponseListener,
     private val heads: HeadListener,
 ) {
+    private val embeddedHeads = EmbeddedHeadDetector(carried)
     private var head: ReplicaResponseHead? = null
     private var isSkipping = false
     private var skippedBytes = 0L
@@ -112,14 +113,21 @@
     }
 
     private fun readContent(content: HttpContent): ResponseState {
-        val bytes = content.content()
+        val bytes = ByteBufUtil.getBytes(content.content())
         val isOwn = !isSkipping
-        if (isOwn && bytes.isReadable) listener.body(ByteBufUtil.getBytes(bytes))
-        if (content !is LastHttpContent) return ResponseState.Incomplete
-        isSkipping = false
-        return if (isOwn) ResponseState.Complete(checkNotNull(head)) else ResponseState.Incomplete
+        val isJoined = embeddedHeads.feed(bytes)
+        if (isOwn && !isJoined && bytes.isNotEmpty()) listener.body(bytes)
+        if (content is LastHttpContent) isSkipping = false
+        return when {
+            isJoined -> ResponseState.Invalid("the body holds the head of another response")
+            isOwn && content is LastHttpContent -> ResponseState.Complete(checkNotNull(head))
+            else -> ResponseState.Incomplete
+        }
     }
 
+    /** Whether [bytes] that follow the whole response show that its body holds a part of another one. */
+    fun isContinuedBy(bytes: ByteArray): Boolean = embeddedHeads.isContinuedBy(bytes)
+
     private companion object {
         /** A replica in trouble may send other responses, or informational ones, without end. */
         const val MAX_SKIPPED_BYTES = 1_048_576L
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -1,6 +1,7 @@
 package org.guavapath.daemon.gateway
 
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPipeline
@@ -58,6 +59,12 @@
     private var listener: ReplicaResponseListener? = null
     private var pending: PendingResponse? = null
     private var isWritten = false
+
+    /** The response that is being completed, while what follows it is looked at. */
+    private var completed: PendingResponse? = null
+
+    /** Whether the response that is being completed ends within another one. */
+    private var isJoined = false
     private var isClosed = false
     private lateinit var channel: Channel
 
@@ -125,13 +132,16 @@
                 is ResponseState.Complete -> complete(response, state.head)
                 is ResponseState.Invalid -> fail(state.reason)
             }
-            else -> {
-                Heads(expected = null).unasked((message as? ByteBuf)?.readableBytes() ?: 0)
-                fail("received bytes while no request was pending")
-            }
+            else -> receiveUnasked(ByteBufUtil.getBytes(message as ByteBuf))
         }
     }
 
+    private fun receiveUnasked(bytes: ByteArray) {
+        isJoined = completed?.isContinuedBy(bytes) ?: false
+        Heads(expected = null).unasked(bytes.size)
+        fail("received bytes while no request was pending")
+    }
+
     private fun complete(response: PendingResponse, head: ReplicaResponseHead) {
         val receiver = listener ?: return
         // The end of the connection is not that of the response if it was reset, which a write may be the first to see.
@@ -139,15 +149,13 @@
         listener = null
         pending = null
         isReading = true
-        removeDecoder()
-        if (response.isReusable && isWritten && !isClosed) onIdle(this, head) else close()
-        receiver.complete()
-    }
-
-    /** Has what arrived behind the response, also half a head, reach this handler undecoded. */
-    private fun removeDecoder() {
+        // What arrived behind the response, also half a head, reaches this handler undecoded.
+        completed = response
         decoder?.let { channel.pipeline().remove(it) }
         decoder = null
+        completed = null
+        if (response.isReusable && isWritten && !isClosed) onIdle(this, head) else close()
+        if (isJoined) receiver.failed("the body ends within another response") else receiver.complete()
     }
 
     private fun fail(reason: String) {
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
@@ -79,6 +79,54 @@
         }
     }
 
+    /** A response that was broken off within its body was completed by bytes of the next one. */
+    @Test
+    fun neverTakesTheNextResponseForTheRestOfABody() {
+        val body = "b".repeat(LONG_BODY)
+        val cases = listOf(
+            "its own response" to success("second", body),
+            "a repeated response" to success("first", body),
+            "its own response in chunks" to success("second", "12c\r\n$body\r\n0\r\n\r\n")
+                .replace(Regex("Content-Length: \\d+"), "Transfer-Encoding: chunked"),
+            "its own response without a length" to "${success("second", body).replace("Content-Length", "Other")}$body",
+        )
+        for ((name, brokenOff) in cases) {
+            val headLength = brokenOff.indexOf("\r\n\r\n") + "\r\n\r\n".length
+            for (length in headLength until headLength + LONG_BODY) {
+                val driven = DrivenConnection()
+                driven.send("first").also { driven.receive(success("first")) }
+                val request = driven.send("second")
+                driven.receive(brokenOff.take(length))
+                driven.receive(failure("second") + failure("first"))
+                driven.close()
+                assertEquals(
+                    "failed",
+                    result(request),
+                    "$name, broken off after ${length - headLength} bytes of its body"
+                )
+            }
+        }
+    }
+
+    /** Bodies that tell of HTTP are whole. */
+    @Test
+    fun acceptsBodiesThatHoldHeads() {
+        val bodies = listOf(
+            "HTTP/1.1 500",
+            failure("other"),
+            failure(null),
+            "$ID_NAME: second\r\n",
+            "The request $ID_NAME: second\r\n got HTTP/1.1 500 Error\r\n\r\n",
+        )
+        for (body in bodies) {
+            val driven = DrivenConnection()
+            val request = driven.send("second")
+            success("second", body).forEach { driven.receive("$it") }
+            assertEquals("200 $body", result(request))
+            assertEquals(true, driven.isIdle, body)
+        }
+    }
+
     /** Half of a head that arrived between two requests was joined to the response to the second one. */
     @Test
     fun closesWhenBytesArriveWhileNoRequestIsPending() {
@@ -158,6 +206,7 @@
     }
 
     private companion object {
+        const val LONG_BODY = 300
         val ID_NAME = SampleFleet.attemptIdHeader("").first
     }
 }
