Soak with replicas that stutter, all as processes of their own

A stand-in of a replica of the sample fleet answers plain requests after real delays, one in seven with a 500 of its own and some as not run. It sends responses again, late, with the same or another status, on an idle connection or in front of the next response, half of them broken off anywhere, all in segments, and some first responses without an id. All choices follow from the request's id. It lists its first response to each request. The soak compares that with what callers of three gateways got on kept connections, in bursts of safe and unsafe requests: a signed response is, with status, body and signature, the first one of a run of that very request, a success is signed, what is said not to have run has not, and an unsafe request runs once at most.

--- a/acceptance/src/test/kotlin/org/guavapath/acceptance/Fleet.kt
+++ b/acceptance/src/test/kotlin/org/guavapath/acceptance/Fleet.kt
@@ -18,7 +18,7 @@
 import kotlin.io.path.createDirectories
 import kotlin.io.path.writeText
 
-private val projectRoot: Path = Path.of("..").absolute().normalize()
+internal val projectRoot: Path = Path.of("..").absolute().normalize()
 private const val TIMEOUT_MILLISECONDS = 60_000L
 private const val FIRST_PORT = 12_000
 private const val PORTS = 8_000
@@ -228,7 +228,7 @@
         }
 
         /** Returns a free port below the ephemeral range, so that no outgoing connection can take it meanwhile. */
-        private fun freePort(): Int = generateSequence { nextPort.getAndIncrement() }.first { isFree(it) }
+        fun freePort(): Int = generateSequence { nextPort.getAndIncrement() }.first { isFree(it) }
 
         private fun isFree(port: Int): Boolean = try {
             ServerSocket(port, 1, InetAddress.getLoopbackAddress()).use { true }
--- a/standins/src/main/kotlin/org/guavapath/standins/Main.kt
+++ b/standins/src/main/kotlin/org/guavapath/standins/Main.kt
@@ -8,6 +8,7 @@
 import org.guavapath.standins.engine.EngineStandIn
 import org.guavapath.standins.platform.PlatformStandIn
 import org.guavapath.standins.service.ServiceStandIn
+import org.guavapath.standins.service.StutteringReplica
 import org.guavapath.standins.traffic.runTraffic
 import org.guavapath.standins.weights.WeightStoreStandIn
 import java.nio.file.Path
@@ -31,4 +32,5 @@
     settings.weightStorePort?.let { WeightStoreStandIn(it) }
     settings.engines.forEach { EngineStandIn(it) }
     settings.servicePorts.forEach { ServiceStandIn(it) }
+    settings.stutteringReplicas.forEach { StutteringReplica(it) }
 }
--- a/standins/src/main/kotlin/org/guavapath/standins/StandInSettings.kt
+++ b/standins/src/main/kotlin/org/guavapath/standins/StandInSettings.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.guavapath.standins.engine.EngineSettings
+import org.guavapath.standins.service.StutteringSettings
 
 /**
  * Settings of the stand-ins program. A stand-in without a port is not started.
@@ -10,6 +11,7 @@
  * @property weightStorePort port of the weight store
  * @property engines model engines to start
  * @property servicePorts one service is started on each of these ports
+ * @property stutteringReplicas replicas of the sample fleet that stutter
  */
 @Serializable
 internal data class StandInSettings(
@@ -17,4 +19,5 @@
     val weightStorePort: Int? = null,
     val engines: List<EngineSettings> = emptyList(),
     val servicePorts: List<Int> = emptyList(),
+    val stutteringReplicas: List<StutteringSettings> = emptyList(),
 )
