--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PendingResponse.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PendingResponse.kt
@@ -13,15 +13,15 @@
 import org.guavapath.platform.wire.ResponseCodec
 
 /** How far a [PendingResponse] is. */
-internal sealed class ResponseState {
+internal sealed class PendingState {
     /** More is to come. */
-    data object Incomplete : ResponseState()
+    data object Incomplete : PendingState()
 
     /** The response is whole, with the status and headers [head]. */
-    class Complete(val head: ReplicaResponseHead) : ResponseState()
+    class Complete(val head: ReplicaResponseHead) : PendingState()
 
     /** What the replica has answered is unknown, because of [reason]. */
-    class Invalid(val reason: String) : ResponseState()
+    class Invalid(val reason: String) : PendingState()
 }
 
 /** Receives the heads of responses, those to other requests too, and of whatever else a replica sends. */
@@ -62,21 +62,21 @@
         private set
 
     /** Reads the next message of the connection. */
-    fun read(message: HttpObject): ResponseState {
+    fun read(message: HttpObject): PendingState {
         val decodingError = message.decoderResult().cause()
         return when {
-            decodingError != null -> ResponseState.Invalid("the answer is not HTTP: ${decodingError.message}")
+            decodingError != null -> PendingState.Invalid("the answer is not HTTP: ${decodingError.message}")
             skippedBytes > MAX_SKIPPED_BYTES ->
-                ResponseState.Invalid("more than $MAX_SKIPPED_BYTES bytes of other responses")
+                PendingState.Invalid("more than $MAX_SKIPPED_BYTES bytes of other responses")
             else -> {
-                val state = if (message is HttpResponse) readHead(message) else ResponseState.Incomplete
+                val state = if (message is HttpResponse) readHead(message) else PendingState.Incomplete
                 if (isSkipping) skippedBytes += (message as? HttpContent)?.content()?.readableBytes() ?: HEAD_BYTES
-                if (state is ResponseState.Incomplete && message is HttpContent) readContent(message) else state
+                if (state is PendingState.Incomplete && message is HttpContent) readContent(message) else state
             }
         }
     }
 
-    private fun readHead(response: HttpResponse): ResponseState {
+    private fun readHead(response: HttpResponse): PendingState {
         val received = response.decode()
         val ambiguity = ResponseCodec.ambiguity(response.status().reasonPhrase(), response.headers())
         val isInformational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
@@ -85,15 +85,15 @@
         if (ambiguity == null && stray != null) heads.stray(stray, received)
         isSkipping = isInformational || stray == StrayKind.REPEATED
         return when {
-            ambiguity != null -> ResponseState.Invalid("the response is ambiguous: $ambiguity")
+            ambiguity != null -> PendingState.Invalid("the response is ambiguous: $ambiguity")
             response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS ->
-                ResponseState.Invalid("the replica switches protocols")
-            stray != null && !isSkipping -> ResponseState.Invalid(
+                PendingState.Invalid("the replica switches protocols")
+            stray != null && !isSkipping -> PendingState.Invalid(
                 "the response does not name the request: ${stray.label}"
             )
             else -> {
                 if (!isInformational) accept(response, received)
-                ResponseState.Incomplete
+                PendingState.Incomplete
             }
         }
     }
@@ -112,16 +112,16 @@
         else -> StrayKind.UNKNOWN
     }
 
-    private fun readContent(content: HttpContent): ResponseState {
+    private fun readContent(content: HttpContent): PendingState {
         val bytes = ByteBufUtil.getBytes(content.content())
         val isOwn = !isSkipping
         val isJoined = embeddedHeads.feed(bytes)
         if (isOwn && !isJoined && bytes.isNotEmpty()) listener.body(bytes)
         if (content is LastHttpContent) isSkipping = false
         return when {
-            isJoined -> ResponseState.Invalid("the body holds the head of another response")
-            isOwn && content is LastHttpContent -> ResponseState.Complete(checkNotNull(head))
-            else -> ResponseState.Incomplete
+            isJoined -> PendingState.Invalid("the body holds the head of another response")
+            isOwn && content is LastHttpContent -> PendingState.Complete(checkNotNull(head))
+            else -> PendingState.Incomplete
         }
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -128,9 +128,9 @@
         when {
             isClosed -> Unit
             message is HttpObject && response != null -> when (val state = response.read(message)) {
-                ResponseState.Incomplete -> Unit
-                is ResponseState.Complete -> complete(response, state.head)
-                is ResponseState.Invalid -> fail(state.reason)
+                PendingState.Incomplete -> Unit
+                is PendingState.Complete -> complete(response, state.head)
+                is PendingState.Invalid -> fail(state.reason)
             }
             else -> receiveUnasked(ByteBufUtil.getBytes(message as ByteBuf))
         }
