Each request has a response writer of its own

A caller could get the response to an earlier request of its connection in place of its own, or a whole response in place of a failure.

Cause: one writer served all requests of a connection and kept no state. What an ended request wrote late (a refusal at its time limit, after an exception had followed its response) became the response to the next request, and the request behind that one was served as well. A refusal after an exception in a response that had begun was written as its last chunk, with the end of the body: the caller saw a whole success.

A writer belongs to one request now. A response begins once and ends once; writes after the end are logged, counted and not made, and any other misplaced write breaks the response off.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
@@ -37,6 +37,12 @@
         context.telemetry.metrics.count("guavapath.gateway.unanswered", "end", unanswered.end.name.lowercase())
     }
 
+    override fun misplacedWrite(request: IncomingRequest?, write: String, state: ResponseState) {
+        val id = request?.let { decode(it).getOrElse { null }?.id }
+        context.telemetry.log.misplacedWrite(id, write, state)
+        context.telemetry.metrics.count("guavapath.gateway.misplaced.writes", "state", state.name.lowercase())
+    }
+
     override fun serve(request: IncomingRequest, sink: ResponseSink): RunningExchange? = try {
         val exchange = Exchange(context, admit(request), sink)
         exchange.start()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerConnection.kt
@@ -30,6 +30,9 @@
 
     /** Records requests that were read and that the caller has no whole response to. */
     fun leftUnanswered(unanswered: UnansweredRequests)
+
+    /** Records a [write] that was not made as it does not fit the [state] of the response to [request]. */
+    fun misplacedWrite(request: IncomingRequest?, write: String, state: ResponseState)
 }
 
 /** A request that is being served. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerRequests.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerRequests.kt
@@ -21,8 +21,7 @@
     private val handler: RequestHandler,
     private val close: (ConnectionEnd) -> Unit,
     private val onLast: () -> Unit,
-) : ResponseProgress {
-    private val writer = ResponseWriter(channel, this)
+) {
     private val queue = ArrayDeque<IncomingRequest>()
     private var serving: IncomingRequest? = null
     private var exchange: RunningExchange? = null
@@ -79,41 +78,56 @@
         return UnansweredRequests(end, requests, pendingBytes, exchange?.progress)
     }
 
-    override fun isLast(): Boolean {
-        val isNothingLeft = queue.isEmpty() && rejection == null
-        return serving?.isKeepAlive != true || handler.connections.isDraining && isNothingLeft
-    }
-
-    override fun breakOff() = close(ConnectionEnd.BROKEN_OFF)
-
-    override fun handedOver() {
-        isSending = true
-    }
-
-    override fun sent(isLast: Boolean) {
-        serving = null
-        exchange = null
-        isSending = false
-        lastSentAt = MonotonicTime.now()
-        if (isLast) {
-            isClosing = true
-            rejection = null
-            onLast()
-        } else {
-            channel.eventLoop().execute { serveNext() }
-        }
-    }
-
     private fun serveNext() {
         if (serving != null || isSending || !channel.isOpen) return
-        val next = queue.removeFirstOrNull() ?: return rejection?.let { writer.refuse(it, id = null) } ?: Unit
+        val next = queue.removeFirstOrNull()
+        if (next == null) {
+            rejection?.let { ResponseWriter(channel, Progress(request = null)).refuse(it, id = null) }
+            return
+        }
         channel.config().isAutoRead = true
         serving = next
+        val progress = Progress(next)
+        val writer = ResponseWriter(channel, progress)
         val started = runCatching { handler.serve(next, writer) }.getOrElse {
             handler.failed(it)
-            if (serving === next && !isSending) writer.refuse(Refusal(ProgramCode.InternalError), id = null)
+            if (!progress.isHandedOver) writer.refuse(Refusal(ProgramCode.InternalError), id = null)
             null
         }
         if (serving === next) exchange = started
     }
+
+    /** Progress of the response to [request], null for the refusal of an unreadable one. */
+    private inner class Progress(private val request: IncomingRequest?) : ResponseProgress {
+        var isHandedOver = false
+            private set
+
+        override fun isLast(): Boolean {
+            val isNothingLeft = queue.isEmpty() && rejection == null
+            return request?.isKeepAlive != true || handler.connections.isDraining && isNothingLeft
+        }
+
+        override fun breakOff() = close(ConnectionEnd.BROKEN_OFF)
+
+        override fun handedOver() {
+            isHandedOver = true
+            isSending = true
+        }
+
+        override fun sent(isLast: Boolean) {
+            serving = null
+            exchange = null
+            isSending = false
+            lastSentAt = MonotonicTime.now()
+            if (isLast) {
+                isClosing = true
+                rejection = null
+                onLast()
+            } else {
+                channel.eventLoop().execute { serveNext() }
+            }
+        }
+
+        override fun misplaced(write: String, state: ResponseState) = handler.misplacedWrite(request, write, state)
+    }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/LossLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/LossLog.kt
@@ -2,12 +2,17 @@
 package org.guavapath.daemon.gateway
 
 import org.guavapath.core.fleet.FleetVersion
+import org.guavapath.core.identity.RequestId
 import org.guavapath.core.time.MonotonicTime
 
 /** Logs a failure of this program that ends a request. */
 internal fun GatewayLog.requestFailed(cause: Throwable) =
     stateChange("request failed", "error" to cause.stackTraceToString())
 
+/** Logs a [write] that was not made as it does not fit the [state] of the response to the request [id]. */
+internal fun GatewayLog.misplacedWrite(id: RequestId?, write: String, state: ResponseState) =
+    stateChange("response write refused", "requestId" to id?.text, "write" to write, "state" to state.name)
+
 /** Logs an attempt on which nothing arrives, and whether the request may be sent to another replica. */
 internal fun GatewayLog.attemptSilent(
     admitted: AdmittedRequest,
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseWriter.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseWriter.kt
@@ -20,12 +20,12 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** Progress of the responses on one caller's connection. */
+/** Progress of the response to one request of a caller's connection. */
 internal interface ResponseProgress {
-    /** Whether the connection closes after the current response. */
+    /** Whether the connection closes after the response. */
     fun isLast(): Boolean
 
-    /** Closes the connection before the end of a response. */
+    /** Closes the connection before the end of the response. */
     fun breakOff()
 
     /** Called when the whole response was handed to the channel. */
@@ -33,18 +33,31 @@
 
     /** Called when the socket has taken the whole response, with true if the connection closes after it. */
     fun sent(isLast: Boolean)
+
+    /** Called with a [write] that does not fit the [state] of the response and is not made. */
+    fun misplaced(write: String, state: ResponseState)
 }
 
-/** Writes the responses on one caller's connection. */
+/** How far a response is. */
+internal enum class ResponseState { WAITING, BEGUN, ENDED }
+
+/**
+ * Writes the response to one request.
+ *
+ * A response begins and ends once. Writes after its end are ignored, as the connection may carry the next response;
+ * any other misplaced write breaks it off.
+ */
 internal class ResponseWriter(private val channel: Channel, private val progress: ResponseProgress) : ResponseSink {
+    private var state = ResponseState.WAITING
     private var hasAnnouncedEnd = false
 
     override val isWritable: Boolean get() = channel.isWritable
 
     override fun writeFull(head: ResponseHead, body: ByteArray) {
-        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
-        setHeaders(response, head)
+        if (!isIn(ResponseState.WAITING, "a whole response")) return
+        val response = responseOf(head)
         HttpUtil.setContentLength(response, body.size.toLong())
+        state = ResponseState.BEGUN
         channel.write(response)
         // In pieces, so that a caller that reads slowly can be told from one that does not read.
         for (from in 0 until body.size - PIECE_BYTES step PIECE_BYTES) {
@@ -55,19 +68,27 @@
     }
 
     override fun begin(head: ResponseHead) {
-        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
-        setHeaders(response, head)
+        if (!isIn(ResponseState.WAITING, "the beginning")) return
+        val response = responseOf(head)
         HttpUtil.setTransferEncodingChunked(response, true)
+        state = ResponseState.BEGUN
         channel.write(response)
     }
 
     override fun writeChunk(bytes: ByteArray) {
+        if (!isIn(ResponseState.BEGUN, "a chunk")) return
         channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
     }
 
-    override fun end() = finish(DefaultLastHttpContent())
+    override fun end() {
+        if (isIn(ResponseState.BEGUN, "the end")) finish(DefaultLastHttpContent())
+    }
 
-    override fun abort() = progress.breakOff()
+    override fun abort() {
+        if (state == ResponseState.ENDED) return progress.misplaced("an abort", state)
+        state = ResponseState.ENDED
+        progress.breakOff()
+    }
 
     override fun refuse(refusal: Refusal, id: RequestId?) {
         val headers = listOfNotNull(
@@ -79,13 +100,24 @@
         writeFull(ResponseHead(refusal.code.status.number, headers), body)
     }
 
-    private fun setHeaders(response: HttpResponse, head: ResponseHead) {
+    /** Returns whether the response is in the [required] state, in which [write] may be made. */
+    private fun isIn(required: ResponseState, write: String): Boolean {
+        if (state == required) return true
+        progress.misplaced(write, state)
+        if (state != ResponseState.ENDED) abort()
+        return false
+    }
+
+    private fun responseOf(head: ResponseHead): HttpResponse {
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
         head.headers.forEach { (name, value) -> response.headers().add(name, value) }
         hasAnnouncedEnd = progress.isLast()
         if (hasAnnouncedEnd) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        return response
     }
 
     private fun finish(last: HttpObject) {
+        state = ResponseState.ENDED
         val isLast = hasAnnouncedEnd || progress.isLast()
         progress.handedOver()
         channel.writeAndFlush(last).addListener { if (it.isSuccess) progress.sent(isLast) }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/CallerConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/CallerConnectionTest.kt
@@ -53,6 +53,9 @@
             lost += unanswered
         }
 
+        override fun misplacedWrite(request: IncomingRequest?, write: String, state: ResponseState) =
+            error("$write for ${request?.path}, which is $state")
+
         private fun bodyOf(path: String) = ByteArray(if (path == "/large") LARGE else 1) { 'a'.code.toByte() }
     }
 
