Responses to HEAD requests end with their head

A caller that sends HEAD on a connection that it uses again takes what follows the head for the response to its next request. The gateway wrote refusals with their JSON body and streams with at least their last chunk; what callers read next was not a response.

The writer of a response to HEAD writes no body and states no chunks; a length is stated as for GET if there is a body, and that of the replica is kept otherwise.

Before, CallerRequestsTest printed what followed the head: "a whole response: body", "a stream: 4, body, 0", "an empty stream: 0", "a refusal: {"error":...}", "an exception: {"error":...}". A response without a body was right.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerRequests.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerRequests.kt
@@ -1,6 +1,7 @@
 package org.guavapath.daemon.gateway
 
 import io.netty.channel.Channel
+import io.netty.handler.codec.http.HttpMethod
 import org.guavapath.core.results.ProgramCode
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.pipeline.Refusal
@@ -82,13 +83,13 @@
         if (serving != null || isSending || !channel.isOpen) return
         val next = queue.removeFirstOrNull()
         if (next == null) {
-            rejection?.let { ResponseWriter(channel, Progress(request = null)).refuse(it, id = null) }
+            rejection?.let { writer(Progress(request = null)).refuse(it, id = null) }
             return
         }
         channel.config().isAutoRead = true
         serving = next
         val progress = Progress(next)
-        val writer = ResponseWriter(channel, progress)
+        val writer = writer(progress)
         val started = runCatching { handler.serve(next, writer) }.getOrElse {
             handler.failed(it)
             if (!progress.isHandedOver) writer.refuse(Refusal(ProgramCode.InternalError), id = null)
@@ -97,8 +98,11 @@
         if (serving === next) exchange = started
     }
 
+    private fun writer(progress: Progress) =
+        ResponseWriter(channel, hasBody = progress.request?.method != HttpMethod.HEAD, progress)
+
     /** Progress of the response to [request], null for the refusal of an unreadable one. */
-    private inner class Progress(private val request: IncomingRequest?) : ResponseProgress {
+    private inner class Progress(val request: IncomingRequest?) : ResponseProgress {
         var isHandedOver = false
             private set
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseWriter.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseWriter.kt
@@ -46,8 +46,14 @@
  *
  * A response begins and ends once. Writes after its end are ignored, as the connection may carry the next response;
  * any other misplaced write breaks it off.
+ *
+ * @param hasBody whether the body is written; callers take that of a response to a HEAD request for the next response
  */
-internal class ResponseWriter(private val channel: Channel, private val progress: ResponseProgress) : ResponseSink {
+internal class ResponseWriter(
+    private val channel: Channel,
+    private val hasBody: Boolean,
+    private val progress: ResponseProgress,
+) : ResponseSink {
     private var state = ResponseState.WAITING
     private var hasAnnouncedEnd = false
 
@@ -56,9 +62,10 @@
     override fun writeFull(head: ResponseHead, body: ByteArray) {
         if (!isIn(ResponseState.WAITING, "a whole response")) return
         val response = responseOf(head)
-        HttpUtil.setContentLength(response, body.size.toLong())
+        if (hasBody || body.isNotEmpty()) HttpUtil.setContentLength(response, body.size.toLong())
         state = ResponseState.BEGUN
         channel.write(response)
+        if (!hasBody) return finish(DefaultLastHttpContent())
         // In pieces, so that a caller that reads slowly can be told from one that does not read.
         for (from in 0 until body.size - PIECE_BYTES step PIECE_BYTES) {
             channel.write(DefaultHttpContent(Unpooled.wrappedBuffer(body, from, PIECE_BYTES)))
@@ -70,13 +77,13 @@
     override fun begin(head: ResponseHead) {
         if (!isIn(ResponseState.WAITING, "the beginning")) return
         val response = responseOf(head)
-        HttpUtil.setTransferEncodingChunked(response, true)
+        if (hasBody) HttpUtil.setTransferEncodingChunked(response, true)
         state = ResponseState.BEGUN
         channel.write(response)
     }
 
     override fun writeChunk(bytes: ByteArray) {
-        if (!isIn(ResponseState.BEGUN, "a chunk")) return
+        if (!isIn(ResponseState.BEGUN, "a chunk") || !hasBody) return
         channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
     }
 
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/CallerRequestsTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/CallerRequestsTest.kt
@@ -117,6 +117,30 @@
         return "${connection.received()}ends ${connection.ends}, ${connection.sinks.size} served"
     }
 
+    /** Guards against a body in the response to a HEAD request, which callers take for the next response. */
+    @Test
+    fun aResponseToAHeadRequestEndsWithItsHead() {
+        val cases = listOf(
+            Write("a whole response") { writeFull(OK, "body".toByteArray()) },
+            Write("a response without a body") { writeFull(OK, ByteArray(0)) },
+            Write("a stream") { stream("body") },
+            Write("an empty stream") {
+                begin(OK)
+                end()
+            },
+            Write("a refusal") { refuse(Refusal(DispatchCode.NoEndpoint), id = null) },
+            Write("an exception") { error("no answer") },
+        )
+        val wrong = cases.mapNotNull { case ->
+            val connection = Connection(case.write)
+            connection.request(HttpMethod.HEAD)
+            val text = connection.received()
+            val rest = text.substringAfter("\r\n\r\n")
+            "${case.name}: $rest".takeIf { rest.isNotEmpty() || !text.startsWith("HTTP/1.1 ") }
+        }
+        assertTrue(wrong.isEmpty(), wrong.joinToString("\n"))
+    }
+
     /** Guards against an exception after the beginning of a response that completes it for the caller. */
     @Test
     fun anExceptionBreaksOffAResponseThatHasBegun() {
