--- a/core/src/main/kotlin/org/guavapath/core/quarantine/BodyDigest.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/BodyDigest.kt
@@ -9,8 +9,8 @@
     /** The hash of what was appended so far. */
     public val bits: Long get() = hash.asLong
 
-    /** Appends [bytes]. */
-    public fun append(bytes: ByteArray) {
-        hash.putBytes(bytes)
+    /** Appends [count] of the [bytes], those from the index [from] on. */
+    public fun append(bytes: ByteArray, from: Int = 0, count: Int = bytes.size) {
+        hash.putBytes(bytes, from, count)
     }
 }
--- a/core/src/main/kotlin/org/guavapath/core/results/LimitCode.kt
+++ b/core/src/main/kotlin/org/guavapath/core/results/LimitCode.kt
@@ -30,4 +30,12 @@
         status = HttpStatus.UNAVAILABLE,
         sentence = "The daemon serves as many requests as it may.",
     )
+
+    /** The daemon has no memory for the body. */
+    public data object MemoryFull : LimitCode(
+        number = 4004,
+        label = "memory-full",
+        status = HttpStatus.UNAVAILABLE,
+        sentence = "The daemon holds as many bytes of bodies as it may.",
+    )
 }
