Bodies of callers are counted against one budget of the process

Change: a body is kept once, in segments of at most 64 KiB that all sends share, and is counted from its first part, with its whole length if the head states it, until its response is handed over or its connection has closed; then it is dropped, whoever still refers to the request. A connection whose body has no room is not read on, for up to a second; then the request is refused with 503, 4004 and Retry-After. A body that is stated to be too large is refused at its first part. Gauges: bytes held, limit, bodies waiting, pauses of reading, refusals.

Bodies of responses and the buffers of connections (one read each) are not counted.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
@@ -8,6 +8,7 @@
 import org.guavapath.core.fleet.FleetWorkspace
 import org.guavapath.core.identity.KeyHash
 import org.guavapath.core.identity.RequestId
+import org.guavapath.core.memory.BodyBudget
 import org.guavapath.core.quota.QuotaVerdict
 import org.guavapath.core.quota.RequestCost
 import org.guavapath.core.results.DispatchCode
@@ -26,6 +27,7 @@
     private val operator: OperatorState,
 ) : RequestHandler {
     override val connections = CallerConnections()
+    override val bodies = BodyBudget.ofHeap(Runtime.getRuntime().maxMemory())
     override val callerLimits: CallerLimits get() = operator.configuration?.callerLimits ?: STARTUP_CALLER_LIMITS
 
     override fun failed(cause: Throwable) = context.telemetry.log.requestFailed(cause)
@@ -91,12 +93,19 @@
         }
     }
 
+    override fun refusedUnread(request: IncomingRequest, refusal: Refusal) =
+        record(RefusedException(refusal), decode(request).getOrElse { null }?.id, request)
+
     private fun refuse(refused: RefusedException, id: RequestId?, request: IncomingRequest, sink: ResponseSink) {
+        record(refused, id, request)
+        sink.refuse(refused.refusal, id)
+    }
+
+    private fun record(refused: RefusedException, id: RequestId?, request: IncomingRequest) {
         val configuration = operator.configuration
         val route = configuration?.route(request.host, request.path)?.name
         context.telemetry.log.refused(id, refused.refusal, configuration?.version, route, refused.limit)
         context.telemetry.metrics.refused(refused.refusal.code)
-        sink.refuse(refused.refusal, id)
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerConnection.kt
@@ -4,13 +4,9 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DuplexChannel
-import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpObject
-import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import org.guavapath.core.fleet.CallerLimits
+import org.guavapath.core.memory.BodyBudget
 import org.guavapath.core.results.ProgramCode
 import org.guavapath.daemon.pipeline.Refusal
 import java.io.IOException
@@ -22,12 +18,18 @@
     val callerLimits: CallerLimits
     val connections: CallerConnections
 
+    /** Counts the bodies of requests. */
+    val bodies: BodyBudget
+
     /** Starts serving [request]; returns the exchange to notify of connection events, null if it has ended. */
     fun serve(request: IncomingRequest, sink: ResponseSink): RunningExchange?
 
     /** Records a failure of this program while it read or served requests. */
     fun failed(cause: Throwable)
 
+    /** Records that [request], whose body there is no room for, is refused. */
+    fun refusedUnread(request: IncomingRequest, refusal: Refusal)
+
     /** Records requests that were read and that the caller has no whole response to. */
     fun leftUnanswered(unanswered: UnansweredRequests)
 }
@@ -46,23 +48,25 @@
 
 /** One connection of a caller. While a request is served, later ones are read and queued. */
 internal class CallerConnection(private val handler: RequestHandler) : SimpleChannelInboundHandler<HttpObject>() {
-    private val reader = RequestReader { handler.callerLimits.bodyBytes }
     private var end = ConnectionEnd.DISCONNECTED
     private lateinit var channel: Channel
     private lateinit var requests: CallerRequests
+    private lateinit var intake: RequestIntake
     private lateinit var idleness: IdleWatch
 
     override fun channelActive(context: ChannelHandlerContext) {
         channel = context.channel()
-        requests = CallerRequests(channel, handler, ::close, ::closeAfterLastResponse)
-        idleness = IdleWatch(channel, handler, reader, requests, ::close)
+        val pauses = ReadingPauses(channel)
+        requests = CallerRequests(channel, handler, pauses, ::close, ::closeAfterLastResponse)
+        intake = RequestIntake(channel, handler, requests, pauses, { idleness.active() }, ::failed)
+        idleness = IdleWatch(channel, handler, intake, requests, ::close)
         handler.connections.opened(this)
         idleness.check()
     }
 
     /** Closes the connection if it has no request, complete or partial, once what has arrived is read. */
     fun closeIfIdle() = channel.eventLoop().afterNextPoll {
-        if (requests.isEmpty && !requests.isClosing && !reader.isReading) close(ConnectionEnd.DRAINED)
+        if (requests.isEmpty && !requests.isClosing && !intake.isReading) close(ConnectionEnd.DRAINED)
     }
 
     /** Records the requests that are unanswered because of [end]. */
@@ -72,14 +76,7 @@
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         idleness.active()
-        if (requests.isClosing) return
-        when (val result = reader.read(message)) {
-            is ReadResult.Incomplete -> if (message is HttpRequest && HttpUtil.is100ContinueExpected(message)) {
-                channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
-            }
-            is ReadResult.Complete -> requests.add(result.request)
-            is ReadResult.Rejected -> requests.reject(result.refusal)
-        }
+        if (!requests.isClosing) intake.read(message)
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
@@ -89,13 +86,17 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         if (end == ConnectionEnd.DISCONNECTED || end == ConnectionEnd.LAST_RESPONSE) report(end)
         requests.disconnected()
+        intake.close()
         handler.connections.closed(this)
     }
 
     /** Refuses the request that was being read, as a part of it may be missing. */
     @Deprecated("Deprecated in Netty for outbound handlers only")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        if (cause is IOException) return
+        if (cause !is IOException) failed(cause)
+    }
+
+    private fun failed(cause: Throwable) {
         handler.failed(cause)
         if (channel.isActive) requests.reject(Refusal(ProgramCode.InternalError))
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerRequests.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerRequests.kt
@@ -19,6 +19,7 @@
 internal class CallerRequests(
     private val channel: Channel,
     private val handler: RequestHandler,
+    private val pauses: ReadingPauses,
     private val close: (ConnectionEnd) -> Unit,
     private val onLast: () -> Unit,
 ) : ResponseProgress {
@@ -49,7 +50,7 @@
     /** Adds a request that was read whole. */
     fun add(request: IncomingRequest) {
         queue.addLast(request)
-        channel.config().isAutoRead = queue.size <= MAX_PIPELINED_REQUESTS
+        pauses.isQueueFull = queue.size > MAX_PIPELINED_REQUESTS
         serveNext()
     }
 
@@ -70,6 +71,7 @@
         isClosing = true
         exchange?.callerDisconnected()
         exchange = null
+        (listOfNotNull(serving) + queue).forEach { it.body.discard() }
     }
 
     /** Returns the requests without a whole response as the connection ends, null if there are none. */
@@ -88,6 +90,7 @@
 
     override fun handedOver() {
         isSending = true
+        serving?.body?.discard()
     }
 
     override fun sent(isLast: Boolean) {
@@ -107,7 +110,7 @@
     private fun serveNext() {
         if (serving != null || isSending || !channel.isOpen) return
         val next = queue.removeFirstOrNull() ?: return rejection?.let { writer.refuse(it, id = null) } ?: Unit
-        channel.config().isAutoRead = true
+        pauses.isQueueFull = false
         serving = next
         val started = runCatching { handler.serve(next, writer) }.getOrElse {
             handler.failed(it)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -115,6 +115,11 @@
         telemetry.metrics.registerGauges(pool, operator, fleet)
         telemetry.metrics.gauge("guavapath.gateway.store.era") { store.era.value.number }
         telemetry.metrics.gauge("guavapath.gateway.store.back.off.ms") { store.backOff.current.inWholeMilliseconds }
+        telemetry.metrics.gauge("guavapath.gateway.body.bytes.held") { admission.bodies.held }
+        telemetry.metrics.gauge("guavapath.gateway.body.bytes.limit") { admission.bodies.bytes }
+        telemetry.metrics.gauge("guavapath.gateway.bodies.waiting") { admission.bodies.waitingBodies }
+        telemetry.metrics.gauge("guavapath.gateway.reading.pauses") { admission.bodies.waits }
+        telemetry.metrics.gauge("guavapath.gateway.bodies.refused") { admission.bodies.refusals }
         store.backOff.onFailed = telemetry.metrics::storeCallFailed
         viewExchange.refresh()
         views.forEach { scope.launch { it.follow() } }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/IdleWatch.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/IdleWatch.kt
@@ -15,7 +15,7 @@
 internal class IdleWatch(
     private val channel: Channel,
     private val handler: RequestHandler,
-    private val reader: RequestReader,
+    private val intake: RequestIntake,
     private val requests: CallerRequests,
     private val close: (ConnectionEnd) -> Unit,
 ) {
@@ -24,7 +24,7 @@
 
     private val timeout: Duration
         get() = handler.callerLimits.let { limits ->
-            if (reader.isReading && !requests.isSending) limits.headerTimeout else limits.idleTimeout
+            if (intake.isReading && !requests.isSending) limits.headerTimeout else limits.idleTimeout
         }
 
     private val idleFor: Duration
@@ -53,7 +53,7 @@
         if (!channel.isOpen || idleFor < timeout || requests.pendingBytes != pendingBytes) return
         when {
             requests.isSending -> close(ConnectionEnd.UNREAD)
-            reader.isReading -> requests.reject(Refusal(RequestCode.SlowRequest))
+            intake.isReading -> requests.reject(Refusal(RequestCode.SlowRequest))
             else -> close(ConnectionEnd.IDLE)
         }
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/IncomingRequest.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/IncomingRequest.kt
@@ -6,38 +6,36 @@
 import io.netty.handler.codec.http.HttpUtil
 import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.WorkspaceName
-import org.guavapath.core.quarantine.BodyDigest
+import org.guavapath.core.memory.BodyReservation
 import org.guavapath.core.quarantine.RequestKey
 import org.guavapath.core.time.MonotonicTime
-import java.io.ByteArrayOutputStream
 
 /** A caller's request; its body is appended as it arrives. */
-internal class IncomingRequest(request: HttpRequest, val receivedAt: MonotonicTime) {
+internal class IncomingRequest(
+    request: HttpRequest,
+    val receivedAt: MonotonicTime,
+    reservation: BodyReservation? = null,
+) {
     val method: HttpMethod = request.method()
 
     /** Path and query exactly as received. */
     val target: String = request.uri()
     val headers: HttpHeaders = request.headers()
     val isKeepAlive: Boolean = HttpUtil.isKeepAlive(request)
-    private val bytes = ByteArrayOutputStream()
 
-    private val bodyDigest = BodyDigest()
+    /** Length that the request states for its body, null if it does not. */
+    val statedBytes: Long? = HttpUtil.getContentLength(request, -1L).takeIf { it >= 0 }
+    val body = RequestBody(statedBytes, reservation)
 
     val path: String get() = target.substringBefore('?')
-    val body: ByteArray get() = bytes.toByteArray()
-    val bodySize: Int get() = bytes.size()
+    val bodySize: Int get() = body.size
 
     /** Value of the Host header without the port. */
     val host: String get() = headers.get("Host").orEmpty().substringBefore(':')
 
     /** Returns the key that repeats of this request by callers of [workspace] for [model] have too. */
     fun key(workspace: WorkspaceName?, model: ModelName?): RequestKey =
-        RequestKey.of(host, "${method.name()} $target", workspace, model, bodyDigest)
-
-    fun append(part: ByteArray) {
-        bytes.write(part)
-        bodyDigest.append(part)
-    }
+        RequestKey.of(host, "${method.name()} $target", workspace, model, body.digest)
 
     /**
      * Returns why the request is malformed, or null if it is valid.
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaRequest.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaRequest.kt
@@ -1,5 +1,6 @@
 package org.guavapath.daemon.gateway
 
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeaders
@@ -43,24 +44,23 @@
         val headers = DefaultHttpHeaders()
         RequestCodec.forReplica(incoming.headers, instructions).forEach { (name, value) -> headers.add(name, value) }
         val hadBody = incoming.headers.contains("Content-Length") || incoming.headers.contains("Transfer-Encoding")
-        return request(incoming.method, incoming.target, headers, incoming.body, hadBody)
+        return request(incoming.method, incoming.target, headers, incoming.body.content(), hadBody)
     }
 
     /** Returns one of the gateway's own calls. */
     fun call(method: HttpMethod, path: String, headers: HttpHeaders, body: ByteArray?): FullHttpRequest =
-        request(method, path, headers, body ?: ByteArray(0), hasLength = body != null)
+        request(method, path, headers, Unpooled.wrappedBuffer(body ?: ByteArray(0)), hasLength = body != null)
 
     private fun request(
         method: HttpMethod,
         target: String,
         headers: HttpHeaders,
-        body: ByteArray,
+        content: ByteBuf,
         hasLength: Boolean,
     ): FullHttpRequest {
         val trailers = EmptyHttpHeaders.INSTANCE
-        val content = Unpooled.wrappedBuffer(body)
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, target, content, headers, trailers)
-        if (hasLength) HttpUtil.setContentLength(request, body.size.toLong())
+        if (hasLength) HttpUtil.setContentLength(request, content.readableBytes().toLong())
         return request
     }
 }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/CallerConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/CallerConnectionTest.kt
@@ -4,6 +4,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import org.guavapath.core.fleet.CallerLimits
+import org.guavapath.core.memory.BodyBudget
+import org.guavapath.daemon.pipeline.Refusal
 import java.net.InetSocketAddress
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
@@ -18,6 +20,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 private const val LOOPBACK = "127.0.0.1"
+private const val BODY_BUDGET = 1_048_576L
 
 /** Runs connections of callers on loopback; the test answers their requests. */
 class CallerConnectionTest {
@@ -27,8 +30,10 @@
     /** Answers each request by its path: after 100 ms, at once with a large body, never, or not at all. */
     private inner class Answers : RequestHandler {
         override val connections = CallerConnections()
+        override val bodies = BodyBudget(BODY_BUDGET)
         val lost = CopyOnWriteArrayList<UnansweredRequests>()
         val failures = CopyOnWriteArrayList<Throwable>()
+        val refused = CopyOnWriteArrayList<Refusal>()
 
         @Volatile
         var idleTimeout: Duration = 5.seconds
@@ -49,6 +54,10 @@
             failures += cause
         }
 
+        override fun refusedUnread(request: IncomingRequest, refusal: Refusal) {
+            refused += refusal
+        }
+
         override fun leftUnanswered(unanswered: UnansweredRequests) {
             lost += unanswered
         }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/RequestIdentityTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/RequestIdentityTest.kt
@@ -1,5 +1,6 @@
 package org.guavapath.daemon.gateway
 
+import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
@@ -23,7 +24,7 @@
             val request = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target)
             headers.forEach { (name, value) -> request.headers().add(name, value) }
             val incoming = IncomingRequest(request, MonotonicTime.ZERO)
-            body.forEach { incoming.append(it.toByteArray()) }
+            body.forEach { incoming.body.append(Unpooled.copiedBuffer(it, Charsets.UTF_8)) }
             return incoming.key(workspace?.let(::WorkspaceName), model = null)
         }
     }
