A request never runs without a part that could not be copied

With the heap exhausted the log line failed too, and reading went on without the part. What callers saw: 200 for a request that ran with a shorter body.

Change: reading is given up first, and the refusal is sent whatever the log line does.

Evidence: CallerBodyTest.aRequestWhosePartCouldNotBeCopiedNeverRuns, which fails on the commit before with "it runs without a part".

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerConnection.kt
@@ -97,8 +97,13 @@
     }
 
     private fun failed(cause: Throwable) {
-        handler.failed(cause)
-        if (channel.isActive) requests.reject(Refusal(ProgramCode.InternalError))
+        try {
+            // First: what follows may fail too if memory has run out.
+            intake.abandon()
+            handler.failed(cause)
+        } finally {
+            if (channel.isActive) requests.reject(Refusal(ProgramCode.InternalError))
+        }
     }
 
     private fun close(reason: ConnectionEnd) {
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/CallerBodyTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/CallerBodyTest.kt
@@ -2,9 +2,18 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.buffer.UnpooledByteBufAllocator
+import io.netty.buffer.UnpooledHeapByteBuf
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpRequest
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpVersion
 import org.guavapath.core.fleet.CallerLimits
 import org.guavapath.core.memory.BodyBudget
 import org.guavapath.daemon.pipeline.Refusal
@@ -35,6 +44,7 @@
         val served = ConcurrentHashMap<String, () -> Unit>()
         val received = ConcurrentHashMap<String, ByteBuf>()
         val refused = CopyOnWriteArrayList<Refusal>()
+        var areFailuresFatal = false
 
         override fun serve(request: IncomingRequest, sink: ResponseSink): RunningExchange? {
             received[request.path] = request.body.content().copy()
@@ -42,7 +52,7 @@
             return null
         }
 
-        override fun failed(cause: Throwable) = Unit
+        override fun failed(cause: Throwable) = check(!areFailuresFatal) { "no memory is left to record $cause" }
 
         override fun refusedUnread(request: IncomingRequest, refusal: Refusal) {
             refused += refusal
@@ -148,4 +158,22 @@
         listOf(waiting, reading, serving).forEach { it.close() }
         assertNothingIsHeld()
     }
+
+    /** Guards against a request that runs without a part of its body. */
+    @Test
+    fun aRequestWhosePartCouldNotBeCopiedNeverRuns() = listOf(true, false).forEach { areFailuresFatal ->
+        val handler = Answers(bytes = 4_000_000).also { it.areFailuresFatal = areFailuresFatal }
+        val channel = EmbeddedChannel(CallerConnection(handler))
+        val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/broken")
+        head.headers().set("Transfer-Encoding", "chunked").set("Host", "a")
+        val uncopyable = object : UnpooledHeapByteBuf(UnpooledByteBufAllocator.DEFAULT, ByteArray(9), 9) {
+            override fun readBytes(target: ByteArray, from: Int, count: Int) = throw OutOfMemoryError("no heap is left")
+        }
+        channel.writeInbound(head, DefaultHttpContent(Unpooled.wrappedBuffer(ByteArray(9))))
+        runCatching { channel.writeInbound(DefaultHttpContent(uncopyable)) }
+        runCatching { channel.writeInbound(DefaultLastHttpContent(Unpooled.wrappedBuffer(ByteArray(9)))) }
+        assertTrue(handler.served.isEmpty(), "it runs without a part")
+        assertEquals(500, channel.readOutbound<HttpResponse>().status().code())
+        assertEquals(0, handler.bodies.held)
+    }
 }
