A process whose memory has run out ends

What callers saw: no answers, and no restart by the platform, as the process did not end.

A handler ends it likewise for direct buffers and threads, for which the JVM does not.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
@@ -30,7 +30,10 @@
     override val bodies = BodyBudget.ofHeap(Runtime.getRuntime().maxMemory())
     override val callerLimits: CallerLimits get() = operator.configuration?.callerLimits ?: STARTUP_CALLER_LIMITS
 
-    override fun failed(cause: Throwable) = context.telemetry.log.requestFailed(cause)
+    override fun failed(cause: Throwable) {
+        endIfOutOfMemory(cause)
+        context.telemetry.log.requestFailed(cause)
+    }
 
     override fun leftUnanswered(unanswered: UnansweredRequests) {
         val ids = unanswered.requests.map { decode(it).getOrElse { null }?.id?.text }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Main.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Main.kt
@@ -14,7 +14,7 @@
 import kotlin.system.exitProcess
 
 private const val EXIT_INVALID_SETTINGS = 2
-private const val EXIT_REHEARSAL_FAILED = 3
+private const val EXIT_REHEARSAL_FAILED = 4
 private const val SETTINGS_VARIABLE = "GUAVAPATH_SETTINGS"
 
 /**
@@ -43,6 +43,10 @@
 }
 
 private fun run(settings: GatewaySettings, path: String) {
+    Thread.setDefaultUncaughtExceptionHandler { thread, cause ->
+        endIfOutOfMemory(cause)
+        KotlinLogging.logger("org.guavapath.gateway").error(cause) { "thread ${thread.name} failed" }
+    }
     val gateway = Gateway(settings, ObjectStoreClient(settings.store))
     val stopped = CountDownLatch(1)
     onSignals(end = { stopped.countDown() }, reload = { reload(settings, path) })
