--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AdmissionHandler.kt
@@ -8,6 +8,7 @@
 import org.guavapath.core.fleet.FleetWorkspace
 import org.guavapath.core.identity.KeyHash
 import org.guavapath.core.identity.RequestId
+import org.guavapath.core.memory.BodyBudget
 import org.guavapath.core.quota.QuotaVerdict
 import org.guavapath.core.quota.RequestCost
 import org.guavapath.core.results.DispatchCode
@@ -26,9 +27,13 @@
     private val operator: OperatorState,
 ) : RequestHandler {
     override val connections = CallerConnections()
+    override val bodies = BodyBudget.ofHeap(Runtime.getRuntime().maxMemory())
     override val callerLimits: CallerLimits get() = operator.configuration?.callerLimits ?: STARTUP_CALLER_LIMITS
 
-    override fun failed(cause: Throwable) = context.telemetry.log.requestFailed(cause)
+    override fun failed(cause: Throwable) {
+        endIfOutOfMemory(cause)
+        context.telemetry.log.requestFailed(cause)
+    }
 
     override fun leftUnanswered(unanswered: UnansweredRequests) {
         val ids = unanswered.requests.map { decode(it).getOrElse { null }?.id?.text }
@@ -49,7 +54,8 @@
         exchange
     } catch (refused: RefusedException) {
         val id = decode(request).getOrElse { null }?.id
-        refuse(refused, id, request, sink)
+        record(refused, id, request)
+        sink.refuse(refused.refusal, id)
         null
     }
 
@@ -97,12 +103,14 @@
         }
     }
 
-    private fun refuse(refused: RefusedException, id: RequestId?, request: IncomingRequest, sink: ResponseSink) {
+    override fun refusedUnread(request: IncomingRequest, refusal: Refusal) =
+        record(RefusedException(refusal), decode(request).getOrElse { null }?.id, request)
+
+    private fun record(refused: RefusedException, id: RequestId?, request: IncomingRequest) {
         val configuration = operator.configuration
         val route = configuration?.route(request.host, request.path)?.name
         context.telemetry.log.refused(id, refused.refusal, configuration?.version, route, refused.limit)
         context.telemetry.metrics.refused(refused.refusal.code)
-        sink.refuse(refused.refusal, id)
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerRequests.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CallerRequests.kt
@@ -20,6 +20,7 @@
 internal class CallerRequests(
     private val channel: Channel,
     private val handler: RequestHandler,
+    private val pauses: ReadingPauses,
     private val close: (ConnectionEnd) -> Unit,
     private val onLast: () -> Unit,
 ) {
@@ -49,7 +50,7 @@
     /** Adds a request that was read whole. */
     fun add(request: IncomingRequest) {
         queue.addLast(request)
-        channel.config().isAutoRead = queue.size <= MAX_PIPELINED_REQUESTS
+        pauses.isQueueFull = queue.size > MAX_PIPELINED_REQUESTS
         serveNext()
     }
 
@@ -70,6 +71,7 @@
         isClosing = true
         exchange?.callerDisconnected()
         exchange = null
+        (listOfNotNull(serving) + queue).forEach { it.body.discard() }
     }
 
     /** Returns the requests without a whole response as the connection ends, null if there are none. */
@@ -86,7 +88,7 @@
             rejection?.let { writer(Progress(request = null)).refuse(it, id = null) }
             return
         }
-        channel.config().isAutoRead = true
+        pauses.isQueueFull = false
         serving = next
         val progress = Progress(next)
         val writer = writer(progress)
@@ -116,6 +118,7 @@
         override fun handedOver() {
             isHandedOver = true
             isSending = true
+            request?.body?.discard()
         }
 
         override fun sent(isLast: Boolean) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
@@ -162,12 +162,16 @@
     ) {
         pooled.open += 1
         opened += 1
+        val replica = request.replica
+        val isPooled = request.connection is ConnectionChoice.Pooled
         val connection = ReplicaConnection(
-            onHead = { onHead(request.replica, it) },
-            onStray = { onStray(request.replica, it) },
-            onIdle = { connection, head -> recycle(request, pooled, connection, head) },
+            onHead = { onHead(replica, it) },
+            onStray = { onStray(replica, it) },
+            onIdle = { connection, head ->
+                if (isPooled) recycle(replica.id, pooled, connection, head) else connection.close()
+            },
         )
-        val address = SocketAddress.of(request.replica.address)
+        val address = SocketAddress.of(replica.address)
         val connecting = bootstrap(connection).connect(address.host, address.port)
         connecting.channel().closeFuture().addListener {
             pooled.open -= 1
@@ -203,16 +207,15 @@
     }
 
     private fun recycle(
-        request: ReplicaRequest,
+        replica: ReplicaId,
         pooled: ConnectionSet,
         connection: ReplicaConnection,
         head: ReplicaResponseHead,
     ) {
         connection.idleSince = MonotonicTime.now()
         connection.idleTimeout = head.keepAlive?.let { it - KEEP_ALIVE_MARGIN } ?: DEFAULT_IDLE_TIMEOUT
-        val isPooled = request.connection is ConnectionChoice.Pooled
-        val isCurrent = connections[request.replica.id]?.contains(pooled) ?: false
-        if (isPooled && isCurrent) pooled.idle.addLast(connection) else connection.close()
+        val isCurrent = connections[replica]?.contains(pooled) ?: false
+        if (isCurrent) pooled.idle.addLast(connection) else connection.close()
     }
 
     private fun bootstrap(connection: ReplicaConnection): Bootstrap = Bootstrap()
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/CallerRequestsTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/CallerRequestsTest.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpVersion
 import org.guavapath.core.fleet.CallerLimits
+import org.guavapath.core.memory.BodyBudget
 import org.guavapath.core.results.DispatchCode
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.pipeline.Refusal
@@ -21,7 +22,8 @@
     /** A connection of a caller. [onServe] is called with the writer of each request as it is served. */
     private class Connection(private val onServe: (ResponseSink) -> Unit = {}) : RequestHandler {
         private val channel = EmbeddedChannel(HttpResponseEncoder())
-        private val requests = CallerRequests(channel, this, { ends += it }, onLast = { ends += null })
+        private val pauses = ReadingPauses(channel)
+        private val requests = CallerRequests(channel, this, pauses, { ends += it }, onLast = { ends += null })
         private val text = StringBuilder()
         val sinks = ArrayList<ResponseSink>()
         val failures = ArrayList<Throwable>()
@@ -32,6 +34,7 @@
 
         override val callerLimits = CallerLimits(16_384, 1_024, headerTimeout = 2.seconds, idleTimeout = 5.seconds)
         override val connections = CallerConnections()
+        override val bodies = BodyBudget(bytes = 1_024)
 
         override fun serve(request: IncomingRequest, sink: ResponseSink): RunningExchange? {
             sinks += sink
@@ -43,6 +46,8 @@
             failures += cause
         }
 
+        override fun refusedUnread(request: IncomingRequest, refusal: Refusal) = error("unused")
+
         override fun leftUnanswered(unanswered: UnansweredRequests) = error("unused")
 
         override fun misplacedWrite(request: IncomingRequest?, write: String, state: ResponseState) {
