Looking for heads within a body takes time in proportion to its length

A replica whose body consists of status lines could hold up the event loop: each of them was looked through to the end of what may be a head, by an expression that also recurs for each line. Each part of a body is looked through once now, line by line.

Found while the change was read once more.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/EmbeddedHeadDetector.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/EmbeddedHeadDetector.kt
@@ -17,10 +17,14 @@
         val text = tail + bytes.toString(Charsets.ISO_8859_1)
         var start = text.indexOf(HEAD_START)
         while (start >= 0) {
-            val head = text.substring(start, minOf(text.length, start + MAX_HEAD))
+            val lines = text.substring(start, minOf(text.length, start + MAX_HEAD))
+            val end = lines.indexOf(HEAD_END)
+            val head = if (end >= 0) lines.take(end + LINE_END.length) else lines
             if (ResponseCodec.requestNamedIn(head)?.let { it in carried } == true) return true
-            if (ResponseCodec.mayBeginHead(head) && head.length < MAX_HEAD) break
-            start = text.indexOf(HEAD_START, start + 1)
+            val mayBegin = ResponseCodec.mayBeginHead(head)
+            if (mayBegin && end < 0 && start + head.length == text.length) break
+            // A head that begins within another one was looked through with that.
+            start = text.indexOf(HEAD_START, if (mayBegin) start + head.length else start + 1)
         }
         tail = if (start >= 0) text.substring(start) else text.takeLast(HEAD_START.length - 1)
         return false
@@ -35,6 +39,8 @@
 
     private companion object {
         const val HEAD_START = "HTTP/"
+        const val LINE_END = "\r\n"
+        const val HEAD_END = "\r\n\r\n"
 
         /** Longer heads are not looked through. */
         const val MAX_HEAD = 8_192
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -168,7 +168,7 @@
         if (!isClosed) fail("the connection was closed")
     }
 
-    /** Called before the decoder takes the reset of a connection for the end of a response without a length. */
+    /** Called when a read finds the connection reset, before the decoder takes that for the end of a response. */
     @Deprecated("Deprecated in Netty for outbound handlers only")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         if (!isClosed) fail(cause.message ?: cause.javaClass.simpleName)
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
@@ -6,6 +6,9 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 class ReplicaConnectionTest {
     private fun success(id: String?, body: String = "success") = SampleFleet.plainResponse(id, body)
@@ -108,6 +111,26 @@
         }
     }
 
+    /** A body of nothing but lines of heads took time that grew with the square of its length. */
+    @Test
+    fun readsLargeBodiesOfHeadsInTime() {
+        val parts = listOf(
+            "HTTP/1.1 200\r\n",
+            "HTTP/1.1 200\r\n\r\n",
+            "HTTP/",
+            "HTTP/1.1 200 OK\r\n" + "a\r\n".repeat(8_000),
+        )
+        val bodies = parts.map { it.repeat(LARGE_BODY / it.length) }
+        for (body in bodies) {
+            val driven = DrivenConnection()
+            val request = driven.send("second")
+            val started = TimeSource.Monotonic.markNow()
+            success("second", body).chunked(SEGMENT).forEach { driven.receive(it) }
+            assertEquals("200 $body", result(request))
+            assertTrue(started.elapsedNow() < 5.seconds, "${body.take(SHOWN)}: ${started.elapsedNow()}")
+        }
+    }
+
     /** Bodies that tell of HTTP are whole. */
     @Test
     fun acceptsBodiesThatHoldHeads() {
@@ -207,6 +230,9 @@
 
     private companion object {
         const val LONG_BODY = 300
+        const val LARGE_BODY = 1_000_000
+        const val SEGMENT = 1_400
+        const val SHOWN = 40
         val ID_NAME = SampleFleet.attemptIdHeader("").first
     }
 }
