--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -1,5 +1,6 @@
 package org.guavapath.daemon.gateway
 
+import org.guavapath.core.fleet.PromptShape
 import org.guavapath.core.quarantine.CrashReport
 import org.guavapath.core.quarantine.CrashStage
 import org.guavapath.core.quarantine.PartKey
@@ -67,5 +68,22 @@
             quarantine.report(CrashReport(replica.id, replica.startedAt, id, cutOff.at, stage, parts))
         }
         telemetry.cutOff(admitted, cutOff)
+        if (prompt != null) logEvidence(cutOff, prompt, stage)
+    }
+
+    private fun logEvidence(cutOff: CutOffAttempt, prompt: PromptShape, stage: CrashStage?) {
+        val replica = cutOff.attempt.choice.record.entry
+        val counted = PartKey.sharedPartsOf(prompt)
+        val report = quarantine.reportsOn(replica.incarnation).firstOrNull { it.parts == counted }
+        log.stateChange(
+            "crash weighed",
+            "replica" to replica.id.text,
+            "incarnation" to replica.startedAt,
+            "stage" to stage?.name,
+            "parts" to prompt.parts.map { it.id },
+            "counted" to counted.map(PartKey::toString),
+            "answeredBefore" to report?.answeredBefore?.map(PartKey::toString),
+            "answeredSince" to report?.answeredSince?.map(PartKey::toString),
+        )
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.guavapath.core.fleet.PromptShape
+import org.guavapath.core.fleet.ReplicaIncarnation
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.placement.ReplicaOutcome
 import org.guavapath.core.quarantine.CrashReport
@@ -75,6 +76,10 @@
     fun isQuarantined(prompt: PromptShape): Boolean =
         quarantine.verdict(PartKey.sharedPartsOf(prompt), MonotonicTime.now()) is QuarantineVerdict.Quarantined
 
+    /** Returns the reports on the crash of [incarnation]. */
+    fun reportsOn(incarnation: ReplicaIncarnation): List<CrashReport> =
+        quarantine.reports.filter { it.replica == incarnation.id && it.startedAt == incarnation.startedAt }
+
     /** Records that [prompt] was answered completely. */
     fun answered(prompt: PromptShape) {
         if (quarantine.answered(PartKey.sharedPartsOf(prompt), MonotonicTime.now())) changed()
