--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
@@ -1,86 +1,86 @@
 package org.guavapath.core.quarantine
 
-import org.guavapath.core.fleet.ReplicaId
 import org.guavapath.core.fleet.ReplicaIncarnation
 import org.guavapath.core.identity.RequestId
 import org.guavapath.core.time.MonotonicTime
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
-/** The crash reports of all VMs, and the parts that they point to. */
+/** The crash reports of all VMs, and the crashes in a row that follow from them. */
 internal class CrashLedger {
-    private val answered = AnsweredParts()
-    private val byId = LinkedHashMap<Triple<ReplicaId, Long, RequestId>, CrashReport>()
+    private val answered = AnsweredSuspects()
+    private val byId = LinkedHashMap<Pair<ReplicaIncarnation, RequestId>, CrashReport>()
 
-    /** Sets of incarnations that one whole request has crashed in a row. */
-    var explanations: Set<Set<ReplicaIncarnation>> = emptySet()
+    /** The crashes of each suspect that may be a cause. */
+    var rows: Map<Suspect, CrashRow> = emptyMap()
+        private set
 
     /** All reports that may still matter, oldest first. */
     val reports: Collection<CrashReport> get() = byId.values
 
     operator fun contains(report: CrashReport): Boolean = report.id in byId
 
-    /** Records that a prompt with [parts] was answered completely; returns whether a report has changed. */
-    fun answered(parts: Set<PartKey>, now: MonotonicTime): Boolean {
-        answered.record(parts, now)
-        return add(byId.values.filter { report -> report.suspects.any { it in parts } }, now).isNotEmpty()
+    /** Records a complete answer to a request with [suspects] that was sent at [sentAt]; returns changed reports. */
+    fun answered(suspects: Set<Suspect>, sentAt: MonotonicTime, now: MonotonicTime): List<CrashReport> {
+        answered.record(suspects, sentAt)
+        if (suspects.none { it in rows }) return emptyList()
+        return add(byId.values.filter { report -> report.suspects.any { it in suspects } }, now)
     }
 
     /**
      * Merges [reports] with what this VM knows; returns those that are new or have changed, as merged.
      *
-     * If there are too many, the weakest and oldest ones are dropped, on all VMs alike.
+     * If there are too many, those of the shortest rows are dropped, the oldest first, on all VMs alike.
      */
     fun add(reports: Collection<CrashReport>, now: MonotonicTime): List<CrashReport> {
-        val changed = reports.filter { it.isLive(now) }.mapNotNull { merge(it) }
-        while (byId.size > MAX_REPORTS) byId.remove(byId.values.minWith(leastRelevantFirst).id)
+        val changed = reports.filter { now - it.at <= LONGEST_RETENTION }.mapNotNull { merge(it) }
+        if (changed.isEmpty()) return changed
+        rows = CrashRow.of(byId.values)
+        if (byId.size > MAX_REPORTS) dropLeastRelevant()
         return changed.filter { it.id in byId }
     }
 
-    /** Removes reports that are too old to matter at [now]; returns whether there were any. */
-    fun expire(now: MonotonicTime): Boolean = byId.values.removeIf { !it.isLive(now) }
-
-    /**
-     * Returns the parts of [report] that are suspected together; empty if the evidence is too weak.
-     *
-     * A part that was answered before more likely shares a prompt with the cause, so it takes twice the evidence, and
-     * none if one whole request explains all of it.
-     */
-    fun suspectedIn(report: CrashReport): Set<PartKey> {
-        val weights = report.suspects.filterNot { wasAnswered(it) && isExplained(it) }.associateWith { weightOf(it) }
-            .filter { (part, weight) -> weight >= if (wasAnswered(part)) 2 * SUFFICIENT_WEIGHT else SUFFICIENT_WEIGHT }
-        val largest = weights.values.maxOrNull() ?: return emptySet()
-        return weights.filterValues { it == largest }.keys
+    /** Removes reports that are too old to matter at [now], but for those in [kept]; returns whether there were any. */
+    fun expire(now: MonotonicTime, kept: Set<CrashReport>): Boolean {
+        val hasExpired = byId.values.removeIf { report ->
+            val retention = when {
+                report.isSettled -> SETTLED_RETENTION
+                report in kept -> LONGEST_RETENTION
+                else -> RETENTION
+            }
+            now - report.at > retention
+        }
+        if (hasExpired) rows = CrashRow.of(byId.values)
+        return hasExpired
     }
 
-    /** Returns the weight of the crashes on prompts with [part] since one was answered, each incarnation once. */
-    fun weightOf(part: PartKey): Int = byId.values.filter { part in it.suspects }
-        .groupBy { it.incarnation }
-        .values.sumOf { reports -> reports.maxOf { it.stage.weight } }
-
     private fun merge(report: CrashReport): CrashReport? {
         val known = byId[report.id]
-        val at = known?.at ?: report.at
-        val (since, before) = report.parts.filter { answered[it] != null }.partition { checkNotNull(answered[it]) > at }
-        val observed = report.copy(
-            answeredBefore = report.answeredBefore + before,
-            answeredSince = report.answeredSince + since,
-        )
-        val merged = known?.merge(observed) ?: observed
+        val merged = answered.observe(known?.merge(report) ?: report)
         if (merged == known) return null
         byId[report.id] = merged
         return merged
     }
 
-    private fun isExplained(part: PartKey): Boolean {
-        val crashed = byId.values.filter { part in it.suspects }.map { it.incarnation }
-        return explanations.any { it.containsAll(crashed) }
+    private fun dropLeastRelevant() {
+        val depth = { report: CrashReport -> report.suspects.maxOf { rows[it]?.depth ?: 0 } }
+        val dropped = byId.values.map { it to depth(it) }
+            .sortedWith(compareBy({ it.second }, { it.first.at }))
+            .take(byId.size - MAX_REPORTS)
+        dropped.forEach { (report, _) -> byId.remove(report.id) }
+        rows = CrashRow.of(byId.values)
     }
 
-    private fun wasAnswered(part: PartKey) = byId.values.any { part in it.answeredBefore }
-
     companion object {
-        /** One crash right before the first event, or two right after the response has begun. */
-        const val SUFFICIENT_WEIGHT = 2
-        const val MAX_REPORTS: Int = 128
-        private val leastRelevantFirst = compareBy<CrashReport> { it.stage.weight }.thenBy { it.at }
+        /** Bounds memory to about 1 MB and messages to some hundred kB. */
+        const val MAX_REPORTS: Int = 1_024
+
+        /** Callers repeat a request that has failed, and go on with a session, within minutes. */
+        private val RETENTION = 10.minutes
+        private val LONGEST_RETENTION = 24.hours
+
+        /** Longer than VMs need to hear that no suspect is left. */
+        private val SETTLED_RETENTION = 10.seconds
     }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
@@ -0,0 +1,93 @@
+package org.guavapath.core.quarantine
+
+import org.guavapath.core.fleet.ReplicaIncarnation
+import org.guavapath.core.time.MonotonicTime
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * The crash of one incarnation that had requests with one suspect.
+ *
+ * @property sentAt when the first of these requests was sent
+ * @property isStalled whether every stalled response of the incarnation, and at least one, was to such a request
+ */
+internal class SuspectedCrash(
+    val incarnation: ReplicaIncarnation,
+    val sentAt: MonotonicTime,
+    val at: MonotonicTime,
+    val reports: List<CrashReport>,
+    val isStalled: Boolean,
+)
+
+/**
+ * The crashes that one suspect may have caused, in the order of time: no complete answer to a request with it
+ * contradicts them.
+ *
+ * Replicas that are lost at one moment count once. A crash follows another one if it came later than that moment, or if
+ * the request was sent after the other crash.
+ */
+internal class CrashRow(val suspect: Suspect, crashes: List<SuspectedCrash>) {
+    val crashes = crashes.sortedBy { it.at }
+    private val depths: Map<SuspectedCrash, Int> = HashMap<SuspectedCrash, Int>().apply {
+        this@CrashRow.crashes.forEach { crash ->
+            put(crash, 1 + (filterKeys { follows(crash, it) }.values.maxOrNull() ?: 0))
+        }
+    }
+
+    /** The crashes of each depth. */
+    private val moments = depths.entries.groupBy({ it.value }, { it.key })
+
+    /** Number of crashes in a row. */
+    val depth: Int = moments.size
+
+    /** Evidence against the suspect: a crash with a stalled response is as much as [STALLED_WEIGHT] others. */
+    val weight: Int = moments.values.sumOf { moment ->
+        if (suspect is PartKey && moment.any { it.isStalled }) STALLED_WEIGHT else 1
+    }
+    val wasAnswered: Boolean = crashes.any { crash -> crash.reports.any { suspect in it.answeredBefore } }
+    val reports: Set<CrashReport> = crashes.flatMap { it.reports }.toSet()
+    val incarnations: Set<ReplicaIncarnation> = crashes.map { it.incarnation }.toSet()
+    val newestAt: MonotonicTime get() = crashes.last().at
+
+    /** The first crash of each depth. */
+    val firstOfEachDepth: List<SuspectedCrash> get() = moments.toSortedMap().values.map { it.first() }
+
+    /** Returns the row without the crashes of [explained], null if none is left. */
+    fun without(explained: Set<ReplicaIncarnation>): CrashRow? =
+        if (incarnations.none { it in explained }) {
+            this
+        } else {
+            crashes.filter { it.incarnation !in explained }.takeIf { it.isNotEmpty() }?.let { CrashRow(suspect, it) }
+        }
+
+    private fun follows(later: SuspectedCrash, earlier: SuspectedCrash) =
+        later.at - earlier.at >= ONE_MOMENT || later.sentAt > earlier.at
+
+    companion object {
+        /** A sound response is hardly ever stalled at the moment of a crash. */
+        const val STALLED_WEIGHT = 3
+
+        /** Replicas that are lost together are found to have ended within that time. */
+        private val ONE_MOMENT = 100.milliseconds
+
+        /** Returns the row of each suspect in [reports]. */
+        fun of(reports: Collection<CrashReport>): Map<Suspect, CrashRow> {
+            val crashes = HashMap<Suspect, MutableList<SuspectedCrash>>()
+            reports.groupBy { it.incarnation }.forEach { (incarnation, ofCrash) ->
+                val stalled = ofCrash.filter { it.isStalled }
+                val bySuspect = HashMap<Suspect, MutableList<CrashReport>>()
+                ofCrash.forEach { report -> report.suspects.forEach { bySuspect.getOrPut(it, ::ArrayList) += report } }
+                bySuspect.filter { (suspect, having) -> having.none { suspect in it.answeredSince } }
+                    .forEach { (suspect, having) ->
+                        crashes.getOrPut(suspect, ::ArrayList) += SuspectedCrash(
+                            incarnation,
+                            sentAt = having.minOf { it.sentAt },
+                            at = having.minOf { it.at },
+                            having,
+                            isStalled = stalled.isNotEmpty() && having.containsAll(stalled),
+                        )
+                    }
+            }
+            return crashes.mapValues { (suspect, ofSuspect) -> CrashRow(suspect, ofSuspect) }
+        }
+    }
+}
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/PartKey.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/PartKey.kt
@@ -9,18 +9,18 @@
  * @property bits hash of the model and the part's id
  */
 @JvmInline
-public value class PartKey(public val bits: Long) {
+public value class PartKey(override val bits: Long) : Suspect {
     override fun toString(): String = bits.toULong().toString(HEXADECIMAL)
 
     /** Creates keys. */
     public companion object {
         private const val HEXADECIMAL = 16
 
-        /** Returns the keys of all parts of [prompt] but the last, which no other request has. */
-        public fun sharedPartsOf(prompt: PromptShape): Set<PartKey> {
+        /** Returns the keys of all parts of [prompt]; the last one may belong to the request alone or to a session. */
+        public fun partsOf(prompt: PromptShape): Set<PartKey> {
             val hasher = Hashing.xxh3_64()
             val model = hasher.hashCharsToLong(prompt.model.text)
-            return prompt.parts.dropLast(1)
+            return prompt.parts
                 .map { PartKey(hasher.hashLongLongToLong(model, hasher.hashCharsToLong(it.id))) }
                 .toSet()
         }
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/RequestKey.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/RequestKey.kt
@@ -10,7 +10,7 @@
  * @property bits hash of the host, the target, the workspace, the model and the body
  */
 @JvmInline
-public value class RequestKey(public val bits: Long) {
+public value class RequestKey(override val bits: Long) : Suspect {
     override fun toString(): String = bits.toULong().toString(HEXADECIMAL)
 
     /** Creates keys. */
