--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
@@ -42,11 +42,11 @@
     }
 
     /** Removes reports that are too old to matter at [now], but for those in [kept]; returns whether there were any. */
-    fun expire(now: MonotonicTime, kept: Set<CrashReport>): Boolean {
+    fun expire(now: MonotonicTime, kept: Set<Pair<ReplicaIncarnation, RequestId>>): Boolean {
         val hasExpired = byId.values.removeIf { report ->
             val retention = when {
                 report.isSettled -> SETTLED_RETENTION
-                report in kept -> LONGEST_RETENTION
+                report.id in kept -> LONGEST_RETENTION
                 else -> RETENTION
             }
             now - report.at > retention
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashQuarantine.kt
@@ -31,7 +31,7 @@
     public val held: Set<Set<Suspect>> get() = holds.map { it.suspects }.toSet()
 
     /** Reports on crashes for which suspects are held. */
-    public val reportsOfHeld: Set<CrashReport> get() = holds.flatMap { it.suspicion.row.reports }.toSet()
+    public val reportsOfHeld: List<CrashReport> get() = holds.flatMap { it.suspicion.row.reports }.distinctBy { it.id }
 
     /** Returns whether a report on the same request and incarnation as [report] is known. */
     public operator fun contains(report: CrashReport): Boolean = report in ledger
@@ -51,7 +51,7 @@
         if (changed.isEmpty()) return changed
         val tried = changed.filter { report -> trialsBefore[report.id].let { it != null && report.trials > it } }
             .map { it.id }.toSet()
-        holds.filter { hold -> hold.suspicion.row.reports.any { it.id in tried } }
+        holds.filter { hold -> hold.suspicion.row.requests.any { it in tried } }
             .forEach { trialEnds[it.suspects] = now + TRIAL_TIMEOUT }
         derive()
         return changed
@@ -76,7 +76,8 @@
      * @return the reports that have changed
      */
     public fun trialStarted(suspects: Set<Suspect>, now: MonotonicTime): List<CrashReport> {
-        val tried = holds.filter { suspects.containsAll(it.suspects) }.flatMap { it.suspicion.row.reports }.toSet()
+        val tried = holds.filter { suspects.containsAll(it.suspects) }.flatMap { it.suspicion.row.reports }
+            .distinctBy { it.id }
         return add(tried.map { it.copy(trials = it.trials + 1) }, now)
     }
 
@@ -86,7 +87,7 @@
 
     /** Removes reports that are too old to matter at [now]. */
     public fun expire(now: MonotonicTime) {
-        val kept = holds.filter { now - endOf(it) <= KEPT_AFTER_END }.flatMap { it.suspicion.row.reports }.toSet()
+        val kept = holds.filter { now - endOf(it) <= KEPT_AFTER_END }.flatMap { it.suspicion.row.requests }.toSet()
         if (ledger.expire(now, kept)) derive()
     }
 
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
@@ -1,6 +1,7 @@
 package org.guavapath.core.quarantine
 
 import org.guavapath.core.fleet.ReplicaIncarnation
+import org.guavapath.core.identity.RequestId
 import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -26,30 +27,31 @@
  * the request was sent after the other crash.
  */
 internal class CrashRow(val suspect: Suspect, crashes: List<SuspectedCrash>) {
+    /** The crashes, earliest first. */
     val crashes = crashes.sortedBy { it.at }
-    private val depths: Map<SuspectedCrash, Int> = HashMap<SuspectedCrash, Int>().apply {
-        this@CrashRow.crashes.forEach { crash ->
-            put(crash, 1 + (filterKeys { follows(crash, it) }.values.maxOrNull() ?: 0))
-        }
-    }
 
     /** The crashes of each depth. */
-    private val moments = depths.entries.groupBy({ it.value }, { it.key })
+    private val moments: List<List<SuspectedCrash>> = depths().let { depths ->
+        this.crashes.withIndex().groupBy({ depths[it.index] }, { it.value }).toSortedMap().values.toList()
+    }
 
     /** Number of crashes in a row. */
-    val depth: Int = moments.size
+    val depth: Int get() = moments.size
 
     /** Evidence against the suspect: a crash with a stalled response is as much as [STALLED_WEIGHT] others. */
-    val weight: Int = moments.values.sumOf { moment ->
+    val weight: Int = moments.sumOf { moment ->
         if (suspect is PartKey && moment.any { it.isStalled }) STALLED_WEIGHT else 1
     }
     val wasAnswered: Boolean = crashes.any { crash -> crash.reports.any { suspect in it.answeredBefore } }
-    val reports: Set<CrashReport> = crashes.flatMap { it.reports }.toSet()
+    val reports: List<CrashReport> get() = crashes.flatMap { it.reports }
+
+    /** Identities of the requests with the suspect that the crashed incarnations had. */
+    val requests: Set<Pair<ReplicaIncarnation, RequestId>> by lazy { reports.map { it.id }.toSet() }
     val incarnations: Set<ReplicaIncarnation> = crashes.map { it.incarnation }.toSet()
     val newestAt: MonotonicTime get() = crashes.last().at
 
     /** The first crash of each depth. */
-    val firstOfEachDepth: List<SuspectedCrash> get() = moments.toSortedMap().values.map { it.first() }
+    val firstOfEachDepth: List<SuspectedCrash> get() = moments.map { it.first() }
 
     /** Returns the row without the crashes of [explained], null if none is left. */
     fun without(explained: Set<ReplicaIncarnation>): CrashRow? =
@@ -59,8 +61,13 @@
             crashes.filter { it.incarnation !in explained }.takeIf { it.isNotEmpty() }?.let { CrashRow(suspect, it) }
         }
 
-    private fun follows(later: SuspectedCrash, earlier: SuspectedCrash) =
-        later.at - earlier.at >= ONE_MOMENT || later.sentAt > earlier.at
+    private fun depths() = IntArray(crashes.size).also { depths ->
+        crashes.forEachIndexed { index, crash ->
+            val earliestNext = maxOf(crash.at + -ONE_MOMENT, crash.sentAt)
+            val before = (0 until index).filter { crashes[it].at <= earliestNext }.maxOfOrNull { depths[it] } ?: 0
+            depths[index] = before + 1
+        }
+    }
 
     companion object {
         /** A sound response is hardly ever stalled at the moment of a crash. */
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
@@ -10,6 +10,7 @@
 package org.guavapath.core.quarantine
 
 import org.guavapath.core.fleet.ReplicaIncarnation
+import org.guavapath.core.time.MonotonicTime
 
 /**
  * Suspects that are held together.
@@ -35,7 +36,8 @@
             val all = ArrayList<Suspicion>()
             var left = rows.toList()
             while (true) {
-                val sufficient = left.filter { it.weight >= neededFor(it, left) }
+                val times = left.flatMap { it.crashes }.associate { it.incarnation to it.at }
+                val sufficient = left.filter { it.weight >= SUFFICIENT_WEIGHT }.filter { it.weight >= neededFor(it, times) }
                 val strongest = sufficient.minWithOrNull(strongestFirst) ?: return all
                 val equal = sufficient.filter { strongestFirst.compare(it, strongest) == 0 }
                 all += suspicions(equal, left)
@@ -46,7 +48,7 @@
 
         private fun suspicions(equal: List<CrashRow>, rows: List<CrashRow>): List<Suspicion> {
             val together = equal.groupBy { row ->
-                rows.filter { it.reports.containsAll(row.reports) && (row.wasAnswered || !it.wasAnswered) }
+                rows.filter { it.requests.containsAll(row.requests) && (row.wasAnswered || !it.wasAnswered) }
                     .map { it.suspect }.toSet()
             }
             return together.map { (suspects, ofThem) ->
@@ -56,21 +58,14 @@
             }
         }
 
-        private fun neededFor(row: CrashRow, rows: List<CrashRow>): Int = when (row.suspect) {
+        /** @param times when the incarnations ended whose crashes are not explained yet */
+        private fun neededFor(row: CrashRow, times: Map<ReplicaIncarnation, MonotonicTime>): Int = when (row.suspect) {
             is RequestKey -> SUFFICIENT_WEIGHT
             is PartKey -> {
-                val forAnswered = if (row.wasAnswered) 1 else 0
-                val forCrowd = if (othersIn(row, rows) >= CROWD * row.depth) 1 else 0
-                SUFFICIENT_WEIGHT + forAnswered + forCrowd
+                val span = row.crashes.first().at..row.newestAt
+                val others = times.count { (incarnation, at) -> at in span && incarnation !in row.incarnations }
+                SUFFICIENT_WEIGHT + (if (row.wasAnswered) 1 else 0) + (if (others >= CROWD * row.depth) 1 else 0)
             }
         }
-
-        /** Returns the number of other crashes from the first to the last one of [row]. */
-        private fun othersIn(row: CrashRow, rows: List<CrashRow>): Int {
-            val span = row.crashes.first().at..row.newestAt
-            val others = HashSet<ReplicaIncarnation>()
-            rows.forEach { other -> other.crashes.filter { it.at in span }.mapTo(others) { it.incarnation } }
-            return (others - row.incarnations).size
-        }
     }
 }
