--- a/cli/src/main/kotlin/org/guavapath/cli/Explanation.kt
+++ b/cli/src/main/kotlin/org/guavapath/cli/Explanation.kt
@@ -28,7 +28,7 @@
 
         /** Messages that tell why prompts are refused; a quarantine may begin long before a request that it refuses. */
         private val QUARANTINE_MESSAGES =
-            setOf("replica crashed", "quarantine begun", "quarantine ended", "quarantine on trial")
+            setOf("attempt cut off by crash", "quarantine begun", "quarantine ended", "quarantine on trial")
 
         private val AVAILABILITY_MESSAGES = setOf("replica leaving", "replica paused")
 
@@ -47,12 +47,12 @@
             val start = timeOf(requestLines.first())?.minus(LOOKBACK)
             val end = timeOf(requestLines.last())
             val code = requestLines.last().number("code")
-            val isQuarantined = code == PROMPT_QUARANTINED
+            val isQuarantined = code == PROMPT_QUARANTINED || code == REQUEST_QUARANTINED
             val related = lines.filter { line ->
                 val isGatewayStateChange = line.source in gateways && line.message in GATEWAY_STATE_CHANGES
                 val isReplicaEvent = line.requestId == null && line.fields["replica"] in replicas
                 val isQuarantineEvent = isQuarantined && line.message in QUARANTINE_MESSAGES &&
-                    (line.source in gateways || line.message == "replica crashed")
+                    (line.source in gateways || line.message == "attempt cut off by crash")
                 val isAvailabilityEvent =
                     code == ENDPOINTS_BUSY && line.source in gateways && line.message in AVAILABILITY_MESSAGES
                 (isQuarantineEvent || isAvailabilityEvent) && isWithin(timeOf(line), Instant.MIN, end) ||
@@ -79,7 +79,7 @@
             return when {
                 last.number("code") == RATE_EXCEEDED -> rateExceededCause(last)
                 last.number("code") == PROMPT_QUARANTINED ->
-                    "replicas crashed on prompts with a part of this one, which is refused until the quarantine ends"
+                    "replicas crashed on prompts with a part of this one: ${last.fields["detail"]}"
                 last.number("code") == REQUEST_QUARANTINED ->
                     "replicas crashed each time they ran this request: ${last.fields["detail"]}"
                 last.number("code") == ENDPOINTS_BUSY ->
--- a/cli/src/test/kotlin/org/guavapath/cli/ExplanationTest.kt
+++ b/cli/src/test/kotlin/org/guavapath/cli/ExplanationTest.kt
@@ -29,10 +29,15 @@
         line(6, "dispatched", """"requestId":"late","replica":"i-2","costMs":108"""),
         line(7, "ended", """"requestId":"late","code":1000,"result":"served","status":200,"firstEventMs":671"""),
         line(8, "dispatched", """"requestId":"open","replica":"i-1","costMs":40"""),
-        line(9, "replica crashed", """"replica":"i-3","causeId":"other","partKeys":["7c","7d"]""", vm = "front-2"),
+        line(
+            9,
+            "attempt cut off by crash",
+            """"replica":"i-3","suspectId":"other","partKeys":["7c","7d"]""",
+            vm = "front-2",
+        ),
         line(9, "quarantine begun", """"parts":["7d"]"""),
         line(9, "quarantine begun", """"parts":["7d"]""", vm = "front-2"),
-        line(39, "ended", """"requestId":"held","code":5013,"result":"prompt-quarantined","status":503"""),
+        line(39, "ended", """"requestId":"held","code":5013,"status":503,"detail":"7d: i-3 1 with other""""),
         line(39, "replica paused", """"replica":"i-4","forMs":2000"""),
         line(39, "replica paused", """"replica":"i-4","forMs":2000""", vm = "front-2"),
         line(
@@ -52,7 +57,7 @@
                 listOf("served (200) after 2 sends", "671.0 ms where 46.0 ms", "i-1 after 426 ms: refused with 503"),
             "open" to listOf("not ended"),
             "paused" to listOf("took no request: no replica takes requests for 900 ms", "0 sends"),
-            "held" to listOf("replicas crashed on prompts with a part of this one"),
+            "held" to listOf("replicas crashed on prompts with a part of this one: 7d: i-3 1 with other"),
         ).forEach { (id, parts) ->
             val cause = Explanation.of(id, log)?.cause.orEmpty()
             parts.forEach { assertTrue(it in cause, "$id: '$it' is not in '$cause'") }
@@ -71,7 +76,7 @@
     fun circumstancesOfAQuarantinedRequestNameTheCrashes() {
         val circumstances = Explanation.of("held", log)?.circumstances.orEmpty()
         assertEquals(2, circumstances.size, circumstances.toString())
-        assertTrue("front-2 replica crashed replica=i-3" in circumstances[0], circumstances[0])
+        assertTrue("front-2 attempt cut off by crash replica=i-3" in circumstances[0], circumstances[0])
         assertTrue("front-1 quarantine begun" in circumstances[1], circumstances[1])
     }
 
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
@@ -12,13 +12,17 @@
     private val answered = AnsweredSuspects()
     private val byId = LinkedHashMap<Pair<ReplicaIncarnation, RequestId>, CrashReport>()
 
+    private var derivedRows: Map<Suspect, CrashRow>? = emptyMap()
+
     /** The crashes of each suspect that may be a cause. */
-    var rows: Map<Suspect, CrashRow> = emptyMap()
-        private set
+    val rows: Map<Suspect, CrashRow> get() = derivedRows ?: CrashRow.of(byId.values).also { derivedRows = it }
 
     /** All reports that may still matter, oldest first. */
     val reports: Collection<CrashReport> get() = byId.values
 
+    /** Returns the number of trials of which the report like [report] knows, null if there is no such report. */
+    fun trialsOf(report: CrashReport): Int? = byId[report.id]?.trials
+
     operator fun contains(report: CrashReport): Boolean = report.id in byId
 
     /** Records a complete answer to a request with [suspects] that was sent at [sentAt]; returns changed reports. */
@@ -36,8 +40,8 @@
     fun add(reports: Collection<CrashReport>, now: MonotonicTime): List<CrashReport> {
         val changed = reports.filter { now - it.at <= LONGEST_RETENTION }.mapNotNull { merge(it) }
         if (changed.isEmpty()) return changed
-        rows = CrashRow.of(byId.values)
-        if (byId.size > MAX_REPORTS) dropLeastRelevant()
+        derivedRows = null
+        if (byId.size >= MAX_REPORTS + MAX_SURPLUS) dropLeastRelevant()
         return changed.filter { it.id in byId }
     }
 
@@ -51,7 +55,7 @@
             }
             now - report.at > retention
         }
-        if (hasExpired) rows = CrashRow.of(byId.values)
+        if (hasExpired) derivedRows = null
         return hasExpired
     }
 
@@ -69,13 +73,16 @@
             .sortedWith(compareBy({ it.second }, { it.first.at }))
             .take(byId.size - MAX_REPORTS)
         dropped.forEach { (report, _) -> byId.remove(report.id) }
-        rows = CrashRow.of(byId.values)
+        derivedRows = null
     }
 
     companion object {
         /** Bounds memory to about 1 MB and messages to some hundred kB. */
         const val MAX_REPORTS: Int = 1_024
 
+        /** How many more are kept for a while, as finding the least relevant ones takes time. */
+        const val MAX_SURPLUS: Int = 128
+
         /** Callers repeat a request that has failed, and go on with a session, within minutes. */
         private val RETENTION = 10.minutes
         private val LONGEST_RETENTION = 24.hours
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashQuarantine.kt
@@ -2,8 +2,8 @@
  * Finds parts of prompts, and whole requests, that crash the replicas which run them, and keeps requests with them away
  * from replicas.
  *
- * The evidence are crash reports of all VMs: what ran on each replica that ended, whatever the time since it was sent or
- * since its response began. What follows from them is derived anew from all reports, so that VMs that know the same
+ * The evidence are crash reports of all VMs: what ran on each replica that ended, whatever the time since it was sent
+ * or since its response began. What follows from them is derived anew from all reports, so that VMs that know the same
  * reports agree, in whichever order they came.
  */
 package org.guavapath.core.quarantine
@@ -16,13 +16,28 @@
 
 /** One VM's view of the suspects that are held. */
 public class CrashQuarantine {
-    private class Hold(val suspicion: Suspicion, val until: MonotonicTime) {
+    private class Hold(val suspicion: Suspicion) {
         val suspects get() = suspicion.suspects
+        val until: MonotonicTime get() = suspicion.row.newestAt + duration
+
+        /** A wrong hold refuses sound requests, a trial with the cause crashes a replica. */
+        private val duration: Duration get() {
+            val depth = suspicion.row.depth
+            val (first, doublings) = when {
+                isOfWholeRequest -> LONG_HOLD to depth - Suspicion.SUFFICIENT_WEIGHT
+                depth >= Suspicion.MAX_WEIGHT -> LONG_HOLD to depth - Suspicion.MAX_WEIGHT
+                else -> SHORT_HOLD to depth - Suspicion.SUFFICIENT_WEIGHT
+            }
+            return if (doublings >= MAX_DOUBLINGS) LONGEST_HOLD else first * (1 shl doublings.coerceAtLeast(0))
+        }
+        private val isOfWholeRequest: Boolean get() = suspects.any { it is RequestKey } &&
+            suspicion.row.depth >= Suspicion.SUFFICIENT_WEIGHT && !suspicion.isAmbiguous
     }
 
     private val ledger = CrashLedger()
     private val trialEnds = HashMap<Set<Suspect>, MonotonicTime>()
-    private var holds = emptyList<Hold>()
+    private var derivedHolds: List<Hold>? = emptyList()
+    private val holds get() = derivedHolds ?: derive()
 
     /** All reports that may still matter, oldest first. */
     public val reports: Collection<CrashReport> get() = ledger.reports
@@ -42,18 +57,20 @@
      * @return the reports that have changed
      */
     public fun answered(suspects: Set<Suspect>, sentAt: MonotonicTime, now: MonotonicTime): List<CrashReport> =
-        ledger.answered(suspects, sentAt, now).also { if (it.isNotEmpty()) derive() }
+        ledger.answered(suspects, sentAt, now).also { if (it.isNotEmpty()) derivedHolds = null }
 
     /** Adds [reports] of this VM or others; returns those that are new or have changed, as merged. */
     public fun add(reports: Collection<CrashReport>, now: MonotonicTime): List<CrashReport> {
-        val trialsBefore = ledger.reports.associate { it.id to it.trials }
+        val trialsBefore = reports.associate { it.id to ledger.trialsOf(it) }
         val changed = ledger.add(reports, now)
         if (changed.isEmpty()) return changed
+        derivedHolds = null
         val tried = changed.filter { report -> trialsBefore[report.id].let { it != null && report.trials > it } }
-            .map { it.id }.toSet()
-        holds.filter { hold -> hold.suspicion.row.requests.any { it in tried } }
-            .forEach { trialEnds[it.suspects] = now + TRIAL_TIMEOUT }
-        derive()
+            .map { it.id }
+        if (tried.isNotEmpty()) {
+            holds.filter { hold -> tried.any { it in hold.suspicion.row.requests } }
+                .forEach { trialEnds[it.suspects] = now + TRIAL_TIMEOUT }
+        }
         return changed
     }
 
@@ -88,28 +105,16 @@
     /** Removes reports that are too old to matter at [now]. */
     public fun expire(now: MonotonicTime) {
         val kept = holds.filter { now - endOf(it) <= KEPT_AFTER_END }.flatMap { it.suspicion.row.requests }.toSet()
-        if (ledger.expire(now, kept)) derive()
+        if (ledger.expire(now, kept)) derivedHolds = null
     }
 
     private fun endOf(hold: Hold) = maxOf(hold.until, trialEnds[hold.suspects] ?: hold.until)
 
-    private fun derive() {
-        holds = Suspicion.of(ledger.rows.values).map { Hold(it, it.row.newestAt + durationFor(it)) }
+    private fun derive(): List<Hold> {
+        val derived = Suspicion.of(ledger.rows.values).map { Hold(it) }
+        derivedHolds = derived
         trialEnds.keys.retainAll(held)
-    }
-
-    private fun isWholeRequest(suspicion: Suspicion) = suspicion.suspects.any { it is RequestKey } &&
-        suspicion.row.depth >= Suspicion.SUFFICIENT_WEIGHT && !suspicion.isAmbiguous
-
-    /** A wrong hold refuses sound requests, a trial with the cause crashes a replica. */
-    private fun durationFor(suspicion: Suspicion): Duration {
-        val depth = suspicion.row.depth
-        val (first, doublings) = when {
-            isWholeRequest(suspicion) -> LONG_HOLD to depth - Suspicion.SUFFICIENT_WEIGHT
-            depth >= Suspicion.MAX_WEIGHT -> LONG_HOLD to depth - Suspicion.MAX_WEIGHT
-            else -> SHORT_HOLD to depth - Suspicion.SUFFICIENT_WEIGHT
-        }
-        return if (doublings >= MAX_DOUBLINGS) LONGEST_HOLD else first * (1 shl doublings.coerceAtLeast(0))
+        return derived
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
@@ -76,25 +76,51 @@
         /** Replicas that are lost together are found to have ended within that time. */
         private val ONE_MOMENT = 100.milliseconds
 
+        /**
+         * For how long the port of a replica that has ended may accept connections, which it then closes. What was sent
+         * later has reached the next run of the replica, which was not listed yet.
+         */
+        private val TIME_TO_CLOSE_PORT = 250.milliseconds
+
         /** Returns the row of each suspect in [reports]. */
         fun of(reports: Collection<CrashReport>): Map<Suspect, CrashRow> {
             val crashes = HashMap<Suspect, MutableList<SuspectedCrash>>()
-            reports.groupBy { it.incarnation }.forEach { (incarnation, ofCrash) ->
-                val stalled = ofCrash.filter { it.isStalled }
-                val bySuspect = HashMap<Suspect, MutableList<CrashReport>>()
-                ofCrash.forEach { report -> report.suspects.forEach { bySuspect.getOrPut(it, ::ArrayList) += report } }
-                bySuspect.filter { (suspect, having) -> having.none { suspect in it.answeredSince } }
-                    .forEach { (suspect, having) ->
-                        crashes.getOrPut(suspect, ::ArrayList) += SuspectedCrash(
-                            incarnation,
-                            sentAt = having.minOf { it.sentAt },
-                            at = having.minOf { it.at },
-                            having,
-                            isStalled = stalled.isNotEmpty() && having.containsAll(stalled),
-                        )
-                    }
+            reports.groupBy { it.incarnation }.forEach { (listed, ofListed) ->
+                runsIn(ofListed).forEachIndexed { index, ofRun ->
+                    addCrashes(listed.copy(startedAt = listed.startedAt + index), ofRun, crashes)
+                }
             }
             return crashes.mapValues { (suspect, ofSuspect) -> CrashRow(suspect, ofSuspect) }
         }
+
+        /** Splits the reports on one listed incarnation by the runs that have ended, the earliest first. */
+        private fun runsIn(reports: List<CrashReport>): List<List<CrashReport>> {
+            val runs = ArrayList<MutableList<CrashReport>>()
+            reports.sortedBy { it.at }.forEach { report ->
+                val isOfNext = runs.isEmpty() || report.sentAt > runs.last().first().at + TIME_TO_CLOSE_PORT
+                if (isOfNext) runs += mutableListOf(report) else runs.last() += report
+            }
+            return runs
+        }
+
+        private fun addCrashes(
+            incarnation: ReplicaIncarnation,
+            reports: List<CrashReport>,
+            crashes: MutableMap<Suspect, MutableList<SuspectedCrash>>,
+        ) {
+            val stalled = reports.filter { it.isStalled }
+            val bySuspect = HashMap<Suspect, MutableList<CrashReport>>()
+            reports.forEach { report -> report.suspects.forEach { bySuspect.getOrPut(it, ::ArrayList) += report } }
+            bySuspect.filter { (suspect, having) -> having.none { suspect in it.answeredSince } }
+                .forEach { (suspect, having) ->
+                    crashes.getOrPut(suspect, ::ArrayList) += SuspectedCrash(
+                        incarnation,
+                        sentAt = having.minOf { it.sentAt },
+                        at = having.minOf { it.at },
+                        having,
+                        isStalled = stalled.isNotEmpty() && having.containsAll(stalled),
+                    )
+                }
+        }
     }
 }
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/FirstEventPauses.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/FirstEventPauses.kt
@@ -21,7 +21,7 @@
 
     private companion object {
         const val REMEMBERED = 500
-        const val SUFFICIENT = 20
+        const val SUFFICIENT = 2
 
         /** One pause in that many is longer than what is compared with. */
         const val TAIL = 50
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
@@ -1,11 +1,11 @@
 /**
- * Decides which suspects explain the crashes of replicas. Answers the load of an input that ends each worker that takes
- * it, among sound ones that share parts with it and run beside it.
+ * Decides which suspects explain the crashes of replicas. Answers the load of an input that ends each worker that
+ * takes it, among sound ones that share parts with it and run beside it.
  *
- * The suspect with the most evidence is held if that suffices, and the crashes that it explains do not count for others,
- * until no suspect is left whose evidence suffices. A suspect is held together with those that were in all the same
- * requests, as nothing tells them apart: only requests with all of them are refused. Suspects that were answered before
- * need more evidence, and are not held together with those that were not.
+ * The suspect with the most evidence is held if that suffices, and the crashes that it explains do not count for
+ * others, until no suspect is left whose evidence suffices. A suspect is held together with those that were in all the
+ * same requests, as nothing tells them apart: only requests with all of them are refused. Suspects that were answered
+ * before need more evidence, and are not held together with those that were not.
  */
 package org.guavapath.core.quarantine
 
@@ -37,7 +37,8 @@
             var left = rows.toList()
             while (true) {
                 val times = left.flatMap { it.crashes }.associate { it.incarnation to it.at }
-                val sufficient = left.filter { it.weight >= SUFFICIENT_WEIGHT }.filter { it.weight >= neededFor(it, times) }
+                val sufficient = left.filter { it.weight >= SUFFICIENT_WEIGHT }
+                    .filter { it.weight >= neededFor(it, times) }
                 val strongest = sufficient.minWithOrNull(strongestFirst) ?: return all
                 val equal = sufficient.filter { strongestFirst.compare(it, strongest) == 0 }
                 all += suspicions(equal, left)
--- a/core/src/test/kotlin/org/guavapath/core/quarantine/RequestQuarantineTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/quarantine/RepeatedRequestTest.kt
@@ -7,7 +7,6 @@
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
-import kotlin.test.assertFailsWith
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlin.time.Duration
@@ -19,18 +18,24 @@
 private val deadly = RequestKey(1)
 private val start = MonotonicTime.ZERO + 1.hours
 
-private fun crash(key: RequestKey, number: Int, at: MonotonicTime, depth: Int) =
-    RequestCrash(key, ReplicaIncarnation(ReplicaId("replica-$number"), 1), RequestId("request-$number"), at, depth)
+private fun crash(
+    key: RequestKey,
+    number: Int,
+    at: MonotonicTime,
+    sentAt: MonotonicTime = at + -RUN_TIME,
+    replica: Int = number,
+): CrashReport {
+    val incarnation = ReplicaIncarnation(ReplicaId("replica-$replica"), 1)
+    return CrashReport(incarnation, RequestId("request-$number"), sentAt, at, setOf(key))
+}
 
-/** Returns the crash of the replica [number] as a VM with this view reports it. */
-private fun RequestQuarantine.crashOf(key: RequestKey, number: Int, sentAt: MonotonicTime, at: MonotonicTime) =
-    crash(key, number, at, depth = 1).let { crashOf(key, it.incarnation, it.request, sentAt, at) }
+private val RUN_TIME = 10.milliseconds
 
 /** Requests of one key that arrive at [gateways] gateways, which hear of each other's news after [delay]. */
 private class Repeats(private val gateways: Int, private val delay: Duration, private val timeToCrash: Duration) {
     private class Event(val at: MonotonicTime, val apply: () -> Unit)
 
-    private val views = List(gateways) { RequestQuarantine() }
+    private val views = List(gateways) { CrashQuarantine() }
     private val events = ArrayList<Event>()
     private val thirdCrashes = ArrayList<MonotonicTime>()
     var sends = 0
@@ -59,64 +64,65 @@
     }
 
     private fun arrive(gateway: Int, now: MonotonicTime) {
-        if (views[gateway].verdict(deadly, now) != RequestVerdict.Allowed) return
+        val verdict = views[gateway].verdict(setOf(deadly), now)
+        if (verdict is QuarantineVerdict.Held) return
+        if (verdict is QuarantineVerdict.Trial) share(gateway, now, views[gateway].trialStarted(setOf(deadly), now))
         sends += 1
         val third = thirdCrashes.getOrNull(2)
         if (third != null && now - third > 3.seconds) lateSends += 1
         if (third != null && now - third > delay) informedSends += 1
         val number = sends
         events += Event(now + timeToCrash) {
-            val crash = views[gateway].crashOf(deadly, number, sentAt = now, at = now + timeToCrash)
+            val crash = crash(deadly, number, at = now + timeToCrash, sentAt = now)
             thirdCrashes += crash.at
-            views[gateway].add(crash)
-            (views - views[gateway]).forEach { view -> events += Event(crash.at + delay) { view.add(crash) } }
+            share(gateway, crash.at, views[gateway].add(listOf(crash), crash.at))
         }
     }
+
+    private fun share(gateway: Int, now: MonotonicTime, reports: List<CrashReport>) =
+        (views - views[gateway]).forEach { view -> events += Event(now + delay) { view.add(reports, now + delay) } }
 }
 
-class RequestQuarantineTest {
+class RepeatedRequestTest {
     /** @property isHeld whether the request is held after [history], ten seconds after the start */
-    private class Case(val name: String, val isHeld: Boolean, val history: RequestQuarantine.() -> Unit)
+    private class Case(val name: String, val isHeld: Boolean, val history: CrashQuarantine.() -> Unit)
+
+    private fun CrashQuarantine.add(report: CrashReport) = add(listOf(report), report.at)
+
+    private fun CrashQuarantine.answered(key: RequestKey, at: MonotonicTime) = answered(setOf(key), at, at)
 
-    private fun RequestQuarantine.crashed(number: Int, after: Duration, depth: Int) =
-        add(crash(deadly, number, start + after, depth))
+    private fun CrashQuarantine.crashed(number: Int, after: Duration) = add(crash(deadly, number, start + after))
 
     /** Adds the crash of the replica [number] that had a request sent right after the start. */
-    private fun RequestQuarantine.crashedOf(number: Int, after: Duration) =
-        add(crashOf(deadly, number, sentAt = start, at = start + after))
+    private fun CrashQuarantine.crashedOf(number: Int, after: Duration, replica: Int = number) =
+        add(crash(deadly, number, at = start + after, sentAt = start, replica = replica))
 
     private val cases = listOf(
         Case("nothing has crashed", false) {},
-        Case("two crashes in a row", false) {
-            crashed(1, 1.seconds, 1)
-            crashed(2, 2.seconds, 2)
-        },
-        Case("three crashes in a row", true) {
-            crashed(1, 1.seconds, 1)
-            crashed(2, 2.seconds, 2)
-            crashed(3, 3.seconds, 3)
-        },
-        Case("in another order", true) {
-            crashed(3, 3.seconds, 3)
-            crashed(1, 1.seconds, 1)
-            crashed(2, 2.seconds, 2)
-        },
-        Case("three replicas at one moment", false) {
-            crashed(1, 1.seconds, 1)
-            crashed(2, 1.seconds, 1)
-            crashed(3, 1.seconds, 1)
-        },
+        Case("two crashes in a row", false) { (1..2).forEach { crashed(it, 1.seconds * it) } },
+        Case("three crashes in a row", true) { (1..3).forEach { crashed(it, 1.seconds * it) } },
+        Case("in another order", true) { listOf(3, 1, 2).forEach { crashed(it, 1.seconds * it) } },
+        Case("three replicas at one moment", false) { (1..3).forEach { crashed(it, 1.seconds) } },
         Case("three replicas that ran copies at the same time", true) {
             (1..3).forEach { crashedOf(it, 250.milliseconds * it) }
         },
         Case("in another order, as heard from other VMs", true) {
-            listOf(1, 3, 2).forEach { crashed(it, 250.milliseconds * it, it) }
+            listOf(1, 3, 2).forEach { crashedOf(it, 250.milliseconds * it) }
         },
         Case("eight replicas with copies that are lost within 80 ms", false) {
             (1..8).forEach { crashedOf(it, 10.milliseconds * it) }
         },
+        Case("copies that were sent after the crash before, within 80 ms", true) {
+            (1..3).forEach {
+                val sentAt = start + 20.milliseconds * it
+                add(crash(deadly, it, at = sentAt + 10.milliseconds, sentAt = sentAt))
+            }
+        },
         Case("two replicas, of which three VMs hear at different times", false) {
-            (1..6).forEach { crashedOf(it % 2, 250.milliseconds * it) }
+            (1..6).forEach { crashedOf(it, 250.milliseconds * it, replica = it % 2) }
+        },
+        Case("three runs of a replica that is listed with the first one", true) {
+            (1..3).forEach { add(crash(deadly, it, at = start + 1.seconds * it, replica = 1)) }
         },
         Case("copies that were answered between the crashes", false) {
             (1..3).forEach {
@@ -125,50 +131,27 @@
             }
         },
         Case("answered before the last one", false) {
-            crashed(1, 1.seconds, 1)
-            crashed(2, 2.seconds, 2)
+            (1..2).forEach { crashed(it, 1.seconds * it) }
             answered(deadly, start + 2500.milliseconds)
-            crashed(3, 3.seconds, 1)
+            crashed(3, 3.seconds)
         },
         Case("answered after all", false) {
-            crashed(1, 1.seconds, 1)
-            crashed(2, 2.seconds, 2)
-            crashed(3, 3.seconds, 3)
+            (1..3).forEach { crashed(it, 1.seconds * it) }
             answered(deadly, start + 4.seconds)
         },
         Case("answered before, as heard later", true) {
-            crashed(1, 1.seconds, 1)
-            crashed(2, 2.seconds, 2)
-            crashed(3, 3.seconds, 3)
+            (1..3).forEach { crashed(it, 1.seconds * it) }
             answered(deadly, start)
         },
-        Case("another request", false) { (1..3).forEach { add(crash(RequestKey(2), it, start + 1.seconds * it, it)) } },
+        Case("another request", false) { (1..3).forEach { add(crash(RequestKey(2), it, start + 1.seconds * it)) } },
     )
 
     /** Guards against sending a request on that crashes each replica that runs it, and against holding others. */
     @Test
     fun aRequestIsHeldAtTheThirdCrashInARow() = cases.forEach { case ->
-        val quarantine = RequestQuarantine().apply { case.history(this) }
-        val verdict = quarantine.verdict(deadly, start + 10.seconds)
-        assertEquals(case.isHeld, verdict is RequestVerdict.Held, "${case.name}: $verdict")
-    }
-
-    /** Guards against blaming parts of prompts for crashes of one whole request, and the other way round. */
-    @Test
-    fun crashesInARowExplainEachOther() {
-        val replicas = { numbers: List<Int> -> numbers.map { crash(deadly, it, start, 1).incarnation }.toSet() }
-        val histories = listOf<Pair<Set<Set<ReplicaIncarnation>>, RequestQuarantine.() -> Unit>>(
-            setOf(replicas(listOf(1, 2))) to { (1..2).forEach { crashed(it, 1.seconds * it, it) } },
-            emptySet<Set<ReplicaIncarnation>>() to { crashed(1, 1.seconds, 1) },
-            emptySet<Set<ReplicaIncarnation>>() to { (1..3).forEach { crashed(it, 1.seconds, 1) } },
-            emptySet<Set<ReplicaIncarnation>>() to {
-                (1..2).forEach { crashed(it, 1.seconds * it, it) }
-                answered(deadly, start + 3.seconds)
-            },
-        )
-        histories.forEachIndexed { index, (expected, history) ->
-            assertEquals(expected, RequestQuarantine().apply(history).crashedInARow, "history $index")
-        }
+        val quarantine = CrashQuarantine().apply { case.history(this) }
+        val verdict = quarantine.verdict(setOf(deadly), start + 10.seconds)
+        assertEquals(case.isHeld, verdict is QuarantineVerdict.Held, "${case.name}: $verdict")
     }
 
     /** Guards against more crashes, and more sends after the third one, than are allowed, over an hour. */
@@ -204,34 +187,33 @@
     fun soundRequestsThatOtherCrashesHitAreNotHeld() {
         repeat(1_000) { seed ->
             val random = Random(seed)
-            val quarantine = RequestQuarantine()
+            val quarantine = CrashQuarantine()
             var now = start
             repeat(random.nextInt(1, 4)) { round ->
                 val copies = random.nextInt(1, 4)
                 val sentAt = now
                 now += random.nextInt(1, 5_000).milliseconds
-                repeat(copies) { copy -> quarantine.add(quarantine.crashOf(deadly, 10 * round + copy, sentAt, now)) }
+                repeat(copies) { copy -> quarantine.add(crash(deadly, 10 * round + copy, now, sentAt)) }
                 if (round % 2 == 1) quarantine.answered(deadly, now + random.nextInt(1, 500).milliseconds)
                 now += 500.milliseconds
             }
-            assertIs<RequestVerdict.Allowed>(quarantine.verdict(deadly, now), "seed $seed")
+            assertIs<QuarantineVerdict.Allowed>(quarantine.verdict(setOf(deadly), now), "seed $seed")
         }
     }
 
     /** Guards against memory that grows with different requests, and against forgetting the one that repeats. */
     @Test
     fun aFloodOfDifferentRequestsCostsBoundedMemory() {
-        val quarantine = RequestQuarantine()
+        val quarantine = CrashQuarantine()
         for (number in 1..10_000) {
             val now = start + 1.milliseconds * number
-            quarantine.add(crash(RequestKey(1_000L + number), number, now, 1))
-            if (number % 1_000 == 0) quarantine.add(quarantine.crashOf(deadly, number, sentAt = now, at = now))
-            if (number % 100 == 0) quarantine.verdict(deadly, now)
+            quarantine.add(crash(RequestKey(1_000L + number), number, now))
+            if (number % 1_000 == 0) quarantine.add(crash(deadly, -number, now))
+            if (number % 100 == 0) quarantine.verdict(setOf(deadly), now)
         }
-        assertTrue(quarantine.crashes.size <= 1_100, "${quarantine.crashes.size} crashes")
-        assertIs<RequestVerdict.Held>(quarantine.verdict(deadly, start + 10.seconds))
+        assertTrue(quarantine.reports.size <= 1_200, "${quarantine.reports.size} reports")
+        assertIs<QuarantineVerdict.Held>(quarantine.verdict(setOf(deadly), start + 10.seconds))
         quarantine.expire(start + 1.hours)
-        assertEquals(setOf(deadly), quarantine.crashes.map { it.key }.toSet())
-        assertFailsWith<IllegalArgumentException> { crash(deadly, 1, start, 0) }
+        assertEquals(setOf<Set<Suspect>>(setOf(deadly)), quarantine.reports.map { it.suspects }.toSet())
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AttemptHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AttemptHandler.kt
@@ -62,8 +62,7 @@
             !event.head.isSuccess -> handleFailure(attempt, event)
             attempt.part.end() -> {
                 attempts.advanced(attempt)
-                context.requestQuarantine.answered(admitted.key)
-                admitted.request.prompt?.let { context.quarantine.answered(it) }
+                context.crashes.answered(attempt, admitted)
                 completion.succeed(attempt, event.head.status, attempts.sends)
             }
             else -> retryOrFail(attempt, DispatchCode.OutcomeUnknown, "the stream ended within an event")
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -1,20 +1,26 @@
 package org.guavapath.daemon.gateway
 
-import org.guavapath.core.fleet.PromptShape
+import org.guavapath.core.fleet.ServiceName
 import org.guavapath.core.quarantine.CrashReport
-import org.guavapath.core.quarantine.CrashStage
-import org.guavapath.core.quarantine.PartKey
-import org.guavapath.core.quarantine.RequestQuarantine
+import org.guavapath.core.quarantine.FirstEventPauses
 import org.guavapath.core.time.MonotonicTime
 
-/** Finds out whether replicas whose connections close have crashed, and reports those that prompts may have caused. */
+/** Finds out whether replicas whose connections close have crashed, and reports the requests that they had. */
 internal class CrashExaminer(
     private val probes: ReplicaProbes,
     private val quarantine: QuarantineTask,
-    private val requests: RequestQuarantineTask,
     private val telemetry: GatewayTelemetry,
 ) {
-    private val log get() = telemetry.log
+    private val pauses = HashMap<ServiceName, FirstEventPauses>()
+
+    /** Records that the response to [attempt] is complete. */
+    fun answered(attempt: Attempt, admitted: AdmittedRequest) {
+        quarantine.answered(admitted.suspects, attempt.startedAt)
+        if (admitted.request.prompt == null) return
+        val headAt = attempt.progress.headAt ?: return
+        val pause = (attempt.progress.firstBytesAt ?: return) - headAt
+        pauses.getOrPut(admitted.service.name) { FirstEventPauses() }.record(pause)
+    }
 
     /**
      * Examines the replica of [attempt], whose connection has closed, and calls [then] once it has ended or seems to
@@ -24,66 +30,38 @@
         val now = MonotonicTime.now()
         val record = attempt.choice.record
         val cutOff = CutOffAttempt(attempt, now, othersRunning = record.ownLoad.requests)
-        val isNearlyHeld = requests.crashesInARow(admitted.key) == RequestQuarantine.SUFFICIENT_DEPTH - 1
+        val isNearlyHeld = quarantine.crashesInARow(setOf(admitted.key)) > 1
         val settlingTime = if (isNearlyHeld) ReplicaProbes.WATCH_TIME else ReplicaProbes.SETTLING_TIME
         probes.examine(record.entry, onEnded = { report(cutOff, admitted) }, onSettled = then, settlingTime)
     }
 
     /**
-     * Watches the replica of [attempt], which the gateway gives up, if replicas have crashed with such requests: it may
-     * go on with the request, or has ended and the connection is about to close.
+     * Remembers [attempt], which the gateway gives up: its replica may go on with it, or has ended and the connection is
+     * about to close. The replica is watched if replicas have crashed with such requests.
      */
     fun givenUp(attempt: Attempt, admitted: AdmittedRequest) {
-        val isSuspect = requests.crashesInARow(admitted.key) > 0 ||
-            admitted.request.prompt?.let { quarantine.isQuarantined(it) } ?: false
-        if (!isSuspect) return
+        val now = MonotonicTime.now()
         val replica = attempt.choice.record.entry
-        val onEnded = { recordCrash(attempt, admitted, MonotonicTime.now()) }
-        probes.examine(replica, onEnded, onSettled = {})
+        quarantine.givenUp(
+            GivenUpAttempt(replica.incarnation, admitted.request.id, admitted.suspects, attempt.startedAt, now),
+        )
+        if (quarantine.crashesInARow(admitted.suspects) == 0) return
+        probes.examine(replica, onEnded = { quarantine.report(reportOf(attempt, admitted, now)) }, onSettled = {})
     }
 
-    private fun recordCrash(attempt: Attempt, admitted: AdmittedRequest, at: MonotonicTime) {
-        val incarnation = attempt.choice.record.entry.incarnation
-        requests.crashed(admitted.key, incarnation, admitted.request.id, attempt.startedAt, at)
+    private fun report(cutOff: CutOffAttempt, admitted: AdmittedRequest) {
+        val merged = quarantine.report(reportOf(cutOff.attempt, admitted, cutOff.at))
+        telemetry.cutOff(admitted, cutOff, merged)
     }
 
-    private fun report(cutOff: CutOffAttempt, admitted: AdmittedRequest) {
-        val attempt = cutOff.attempt
-        val replica = attempt.choice.record.entry
-        val id = admitted.request.id
-        recordCrash(attempt, admitted, cutOff.at)
-        val progress = attempt.progress
-        val prompt = admitted.request.prompt
-        val stage = CrashStage.of(progress.headAt?.let { cutOff.at - it }, hasBody = progress.firstBytesAt != null)
-        if (prompt != null && stage != null) {
-            val parts = PartKey.sharedPartsOf(prompt)
-            log.stateChange(
-                "replica crashed",
-                "replica" to replica.id.text,
-                "causeId" to id.text,
-                "stage" to stage.name,
-                "sharedParts" to prompt.parts.dropLast(1).map { it.id },
-                "partKeys" to parts.map(PartKey::toString),
-            )
-            quarantine.report(CrashReport(replica.id, replica.startedAt, id, cutOff.at, stage, parts))
-        }
-        telemetry.cutOff(admitted, cutOff)
-        if (prompt != null) logEvidence(cutOff, prompt, stage)
+    private fun reportOf(attempt: Attempt, admitted: AdmittedRequest, at: MonotonicTime): CrashReport {
+        val incarnation = attempt.choice.record.entry.incarnation
+        val isStalled = isStalled(attempt, admitted, at)
+        return CrashReport(incarnation, admitted.request.id, attempt.startedAt, at, admitted.suspects, isStalled)
     }
 
-    private fun logEvidence(cutOff: CutOffAttempt, prompt: PromptShape, stage: CrashStage?) {
-        val replica = cutOff.attempt.choice.record.entry
-        val counted = PartKey.sharedPartsOf(prompt)
-        val report = quarantine.reportsOn(replica.incarnation).firstOrNull { it.parts == counted }
-        log.stateChange(
-            "crash weighed",
-            "replica" to replica.id.text,
-            "incarnation" to replica.startedAt,
-            "stage" to stage?.name,
-            "parts" to prompt.parts.map { it.id },
-            "counted" to counted.map(PartKey::toString),
-            "answeredBefore" to report?.answeredBefore?.map(PartKey::toString),
-            "answeredSince" to report?.answeredSince?.map(PartKey::toString),
-        )
+    private fun isStalled(attempt: Attempt, admitted: AdmittedRequest, at: MonotonicTime): Boolean {
+        val headAt = attempt.progress.headAt ?: return false
+        return attempt.progress.firstBytesAt == null && pauses[admitted.service.name]?.isOverdue(at - headAt) ?: false
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -53,7 +53,7 @@
         running.current?.setReading(true)
     }
 
-    /** Ends the request if it, or its prompt, has been quarantined since it was sent and no event has arrived. */
+    /** Ends the request if it, or a part of it, is held since it was sent and no event has arrived. */
     fun endIfQuarantined() {
         val isWaiting = !completion.hasEnded && !relay.hasBegun && !attempts.isTrial
         val refusal = (if (isWaiting) attempts.refusalSinceSent else null) ?: return
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -9,7 +9,9 @@
 import org.guavapath.core.fleet.FleetService
 import org.guavapath.core.fleet.FleetWorkspace
 import org.guavapath.core.fleet.ServiceName
+import org.guavapath.core.quarantine.PartKey
 import org.guavapath.core.quarantine.RequestKey
+import org.guavapath.core.quarantine.Suspect
 import org.guavapath.core.quota.RetryBudget
 import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration
@@ -37,6 +39,11 @@
     /** Identity of the whole request; repeats have the same. */
     val key: RequestKey = incoming.key(workspace?.name, request.prompt?.model)
 
+    /** What in the request may be the cause if a replica crashes: all parts of its prompt, and the whole request. */
+    val suspects: Set<Suspect> by lazy(LazyThreadSafetyMode.NONE) {
+        request.prompt?.let { PartKey.partsOf(it) }.orEmpty() + key
+    }
+
     /** When the response is due: the caller's deadline or the end of the route's timeout, whichever is first. */
     val dueAt: MonotonicTime = minOf(request.deadline, request.receivedAt + route.timeout)
 
@@ -63,12 +70,9 @@
     /** The configuration in force, null before the first. */
     val configuration: FleetConfiguration?
 
-    /** Keeps prompts that crash replicas away from them. */
+    /** Keeps requests that crash replicas, and parts of prompts that do, away from them. */
     val quarantine: QuarantineTask
 
-    /** Keeps requests that crash replicas away from them. */
-    val requestQuarantine: RequestQuarantineTask
-
     /** Knows which replicas want no requests. */
     val availability: AvailabilityTask
 
@@ -101,13 +105,11 @@
     val waiting = LinkedHashSet<BeginningTimer>()
 
     val quarantine: QuarantineTask get() = host.quarantine
-    val requestQuarantine: RequestQuarantineTask get() = host.requestQuarantine
     val availability: AvailabilityTask get() = host.availability
     val namedRates: NamedRateTask get() = host.namedRates
     val permits: PermitTask get() = host.permits
     private val returnTimes = ReturnTimes(fleet)
-    val crashes =
-        CrashExaminer(ReplicaProbes(loop, pool, fleet.replicas), host.quarantine, host.requestQuarantine, telemetry)
+    val crashes = CrashExaminer(ReplicaProbes(loop, pool, fleet.replicas), host.quarantine, telemetry)
 
     /** Counts the first send of a request to [service]. */
     fun recordFirstSend(service: FleetService) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/FleetState.kt
@@ -4,8 +4,7 @@
 import org.guavapath.core.placement.Placement
 import org.guavapath.core.placement.PromptDirectory
 import org.guavapath.core.placement.ReplicaRegistry
-import org.guavapath.core.quarantine.PromptQuarantine
-import org.guavapath.core.quarantine.RequestQuarantine
+import org.guavapath.core.quarantine.CrashQuarantine
 import org.guavapath.core.quota.FleetQuota
 import org.guavapath.core.throttling.NamedRates
 import org.guavapath.core.time.MonotonicTime
@@ -23,8 +22,7 @@
     val replicas = ReplicaRegistry()
     val directory = PromptDirectory()
     val weights = TargetWeights(areKnown = false)
-    val quarantine = PromptQuarantine()
-    val requestQuarantine = RequestQuarantine()
+    val quarantine = CrashQuarantine()
     val rates = NamedRates()
     val quota = FleetQuota(startedAt, isFirstStart)
     val stalls = StallDetector()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -73,9 +73,8 @@
     private val targetAges = TargetAgeTask(fleet, exchange, log)
     private val storedCrashes = StoredCrashReports(store, settings.isFirstStart, log)
     override val quarantine = QuarantineTask(fleet, exchange, storedCrashes, log)
-    override val requestQuarantine = RequestQuarantineTask(fleet.requestQuarantine, exchange, log)
     override val availability = AvailabilityTask(fleet, pool, exchange, telemetry)
-    private val replicaNews = ReplicaNews(quarantine, requestQuarantine, availability)
+    private val replicaNews = ReplicaNews(quarantine, availability)
     private val arbitration = RateArbitration(settings.vm)
     private val ratePeers = LinkedRatePeers(settings.vm, topology, exchange)
     override val namedRates = NamedRateTask(fleet, arbitration, ratePeers, log)
@@ -135,13 +134,8 @@
         targetAges.onLearned = { exchanges.waiting.toList().forEach { it.targetsChanged() } }
         scope.launch { targetAges.run() }
         scope.launch { rollout.run(scope) }
-        quarantine.onQuarantined = { exchanges.running.toList().forEach { it.endIfQuarantined() } }
-        requestQuarantine.onHeld = quarantine.onQuarantined
-        requestQuarantine.onChanged = {
-            if (fleet.quarantine.explain(fleet.requestQuarantine.crashedInARow)) quarantine.changed()
-        }
+        quarantine.onHeld = { exchanges.running.toList().forEach { it.endIfQuarantined() } }
         scope.launch { quarantine.run(scope) }
-        scope.launch { requestQuarantine.run() }
         pool.onHead = availability::responded
         pool.onStray = { replica, stray -> telemetry.stray(replica.id, stray) }
         scope.launch { availability.run() }
@@ -191,8 +185,7 @@
                 publisher.scheduleUpdates(isOfHub = fleet.quota.isHub)
             }
             is PeerMessage.ViewWanted -> viewExchange.share(from, message)
-            is PeerMessage.PromptCrashes, is PeerMessage.RequestCrashes, is PeerMessage.ReplicasLeaving ->
-                replicaNews.received(from, message)
+            is PeerMessage.OfCrashes, is PeerMessage.ReplicasLeaving -> replicaNews.received(from, message)
             is PeerMessage.OfRates -> permits.received(from, message)
             is PeerMessage.OfTargets -> targetAges.received(from, message)
             is PeerMessage.RolloutInvitation -> rollout.invited()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -8,6 +8,8 @@
 import org.guavapath.core.identity.RequestId
 import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.placement.PlacementResult
+import org.guavapath.core.quarantine.CrashReport
+import org.guavapath.core.quarantine.PartKey
 import org.guavapath.core.quota.BucketReading
 import org.guavapath.core.throttling.PermitDecision
 import org.guavapath.core.throttling.RequestRate
@@ -113,7 +115,7 @@
     )
 
     /** Logs an attempt that ended with the crash of its replica. The line may follow the end of the request. */
-    fun cutOff(admitted: AdmittedRequest, cutOff: CutOffAttempt) {
+    fun cutOff(admitted: AdmittedRequest, cutOff: CutOffAttempt, report: CrashReport) {
         val attempt = cutOff.attempt
         val replica = attempt.choice.record.entry
         write(
@@ -130,6 +132,11 @@
             "sinceFirstBytesMs" to attempt.progress.firstBytesAt?.let { (cutOff.at - it).inWholeMilliseconds },
             "othersRunning" to cutOff.othersRunning,
             "promptTokens" to admitted.request.prompt?.promptTokens,
+            "parts" to admitted.request.prompt?.parts?.map { it.id },
+            "partKeys" to report.suspects.filterIsInstance<PartKey>().map(PartKey::toString),
+            "isStalled" to report.isStalled,
+            "answeredBefore" to report.answeredBefore.map { it.toString() },
+            "answeredSince" to report.answeredSince.map { it.toString() },
         )
     }
 
@@ -172,8 +179,8 @@
 /** The log and the metrics; both record the end of each request. */
 internal class GatewayTelemetry(val log: GatewayLog, val metrics: GatewayMetrics) {
     /** Records an attempt that ended with the crash of its replica. */
-    fun cutOff(admitted: AdmittedRequest, cutOff: CutOffAttempt) {
-        log.cutOff(admitted, cutOff)
+    fun cutOff(admitted: AdmittedRequest, cutOff: CutOffAttempt, report: CrashReport) {
+        log.cutOff(admitted, cutOff, report)
         metrics.cutOff(cutOff.attempt.progress)
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayMetrics.kt
@@ -5,6 +5,8 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.guavapath.core.quarantine.PartKey
+import org.guavapath.core.quarantine.RequestKey
 import org.guavapath.core.results.ResultCode
 import org.guavapath.core.store.StoreError
 import org.guavapath.core.time.MonotonicTime
@@ -65,12 +67,16 @@
         gauge("guavapath.gateway.replicas.with.named.rate") { fleet.rates.limitedReplicas }
         gauge("guavapath.gateway.replicas.withdrawn") { fleet.replicas.all.count { it.isWithdrawn } }
         gauge("guavapath.gateway.replicas.paused") { fleet.replicas.pauses.count(MonotonicTime.now()) }
-        gauge("guavapath.gateway.prompt.crash.reports") { fleet.quarantine.reports.size }
-        gauge("guavapath.gateway.held.requests") { fleet.requestQuarantine.held(MonotonicTime.now()) }
+        gauge("guavapath.gateway.crash.reports") { fleet.quarantine.reports.size }
+        gauge(
+            "guavapath.gateway.held.requests"
+        ) { fleet.quarantine.held.count { held -> held.any { it is RequestKey } } }
         val progress = { RolloutProgress.of(fleet.weights, fleet.replicas.all, MonotonicTime.now()) }
         gauge("guavapath.gateway.replicas.behind.weights") { progress().behind }
         gauge("guavapath.gateway.replicas.behind.weights.milliseconds") { progress().longest.inWholeMilliseconds }
-        gauge("guavapath.gateway.quarantined.prompts") { fleet.quarantine.quarantined.size }
+        gauge(
+            "guavapath.gateway.quarantined.prompts"
+        ) { fleet.quarantine.held.count { held -> held.all { it is PartKey } } }
     }
 
     /** Registers a gauge that reads its value at each scrape. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineRefusals.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineRefusals.kt
@@ -1,36 +1,28 @@
 package org.guavapath.daemon.gateway
 
 import org.guavapath.core.quarantine.QuarantineVerdict
-import org.guavapath.core.quarantine.RequestVerdict
 import org.guavapath.core.results.DispatchCode
 import org.guavapath.daemon.pipeline.Refusal
 
 /** How one request is refused if replicas crash on it, or on a part of its prompt. */
 internal class QuarantineRefusals(private val context: ExchangeContext, private val admitted: AdmittedRequest) {
     /** Returns the refusal before the request is sent, null if it may be; calls [onTrial] if it is sent as a trial. */
-    fun beforeSend(onTrial: () -> Unit): Refusal? = ofRequest() ?: ofPrompt(onTrial)
+    fun beforeSend(onTrial: () -> Unit): Refusal? = when (val verdict = context.quarantine.admit(admitted.suspects)) {
+        QuarantineVerdict.Allowed -> null
+        QuarantineVerdict.Trial -> {
+            onTrial()
+            null
+        }
+        is QuarantineVerdict.Held -> refusal(verdict)
+    }
 
     /** Returns the refusal of a request that was sent and would not be sent now, null if it would be. */
-    fun sinceSent(): Refusal? = ofRequest() ?: admitted.request.prompt?.takeIf { context.quarantine.isQuarantined(it) }
-        ?.let { Refusal(DispatchCode.PromptQuarantined) }
+    fun sinceSent(): Refusal? =
+        (context.quarantine.verdict(admitted.suspects) as? QuarantineVerdict.Held)?.let { refusal(it) }
 
-    private fun ofRequest(): Refusal? {
-        val held = context.requestQuarantine.verdict(admitted.key) as? RequestVerdict.Held ?: return null
-        val crashes = held.crashes.joinToString { RequestCrashCodec.describe(it) }
-        val code = DispatchCode.RequestQuarantined
-        return Refusal(code, "${code.sentence} ${admitted.key}: $crashes", held.timeLeft)
-    }
-
-    private fun ofPrompt(onTrial: () -> Unit): Refusal? {
-        val prompt = admitted.request.prompt ?: return null
-        return when (val verdict = context.quarantine.admit(prompt)) {
-            QuarantineVerdict.Allowed -> null
-            QuarantineVerdict.Trial -> {
-                onTrial()
-                null
-            }
-            is QuarantineVerdict.Quarantined ->
-                Refusal(DispatchCode.PromptQuarantined, retryAfter = verdict.timeLeft)
-        }
+    private fun refusal(held: QuarantineVerdict.Held): Refusal {
+        val code = if (held.isWholeRequest) DispatchCode.RequestQuarantined else DispatchCode.PromptQuarantined
+        val crashes = held.crashes.joinToString { CrashReportCodec.describe(it) }
+        return Refusal(code, "${code.sentence} ${held.suspects.joinToString(" ")}: $crashes", held.timeLeft)
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -4,23 +4,24 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.guavapath.core.fleet.PromptShape
 import org.guavapath.core.fleet.ReplicaIncarnation
+import org.guavapath.core.identity.RequestId
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.placement.ReplicaOutcome
 import org.guavapath.core.quarantine.CrashReport
-import org.guavapath.core.quarantine.PartKey
 import org.guavapath.core.quarantine.QuarantineVerdict
+import org.guavapath.core.quarantine.RequestKey
+import org.guavapath.core.quarantine.Suspect
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.peers.PeerMessage
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Reports crashes that prompts may have caused and keeps the other gateways informed of them.
+ * Reports the requests that replicas had when they ended, and keeps the other gateways informed of them.
  *
- * Reports are repeated while they matter, so that gateways that were cut off receive them too. A gateway that starts
- * takes them from the store and from each gateway that it links with.
+ * News is sent at once, and everything is repeated while it matters, so that gateways that have missed some receive it
+ * too. A gateway that starts takes the reports from the store and from each gateway that it links with.
  */
 internal class QuarantineTask(
     private val fleet: FleetState,
@@ -29,105 +30,167 @@
     private val log: GatewayLog,
 ) {
     private val quarantine get() = fleet.quarantine
-    private val updates = Channel<Unit>(Channel.CONFLATED)
-    private var logged = emptySet<Set<PartKey>>()
+    private val wakeUp = Channel<Unit>(Channel.CONFLATED)
+    private val news = LinkedHashMap<Pair<ReplicaIncarnation, RequestId>, CrashReport>()
+    private val givenUp = GivenUpAttempts()
+    private var logged = emptySet<Set<Suspect>>()
 
-    /** Called when further parts are quarantined. */
-    var onQuarantined: () -> Unit = {}
+    /** Called when further suspects are held. */
+    var onHeld: () -> Unit = {}
 
     /** Reads the stored reports, and publishes reports when they have changed, and periodically. */
     suspend fun run(scope: CoroutineScope) {
         val addStored = { reports: List<CrashReport> ->
             add(reports)
-            quarantine.reports
+            quarantine.reportsOfHeld
         }
         scope.launch { stored.load { addStored(it) } }
         scope.launch { stored.keepSaved(addStored) }
-        scope.launch { stored.watchRestores { if (quarantine.quarantined.isNotEmpty()) stored.save() } }
+        scope.launch { stored.watchRestores { if (quarantine.held.isNotEmpty()) stored.save() } }
         scope.launch {
             while (true) {
-                delay(REPEAT_INTERVAL)
+                delay(EXPIRY_INTERVAL)
                 quarantine.expire(MonotonicTime.now())
-                changed()
+                logHolds()
+            }
+        }
+        scope.launch {
+            while (true) {
+                delay(REPEAT_INTERVAL)
+                if (quarantine.reports.isNotEmpty()) peers.broadcast(message(quarantine.reports))
             }
         }
         while (true) {
-            updates.receive()
-            if (quarantine.reports.isNotEmpty()) peers.broadcast(message(isGreeting = false))
+            wakeUp.receive()
+            val reports = news.values.toList()
+            news.clear()
+            if (reports.isNotEmpty()) peers.broadcast(message(reports))
             delay(MIN_INTERVAL)
         }
     }
 
-    /** Returns whether a request with [prompt] may be sent to a replica; if as a trial, it counts as sent. */
-    fun admit(prompt: PromptShape): QuarantineVerdict {
-        if (quarantine.reports.isEmpty()) return QuarantineVerdict.Allowed
-        val now = MonotonicTime.now()
-        val parts = PartKey.sharedPartsOf(prompt)
-        val verdict = quarantine.verdict(parts, now)
+    /** Returns whether a request with [suspects] may be sent to a replica; if as a trial, it counts as sent. */
+    fun admit(suspects: Set<Suspect>): QuarantineVerdict {
+        val verdict = verdict(suspects)
         if (verdict == QuarantineVerdict.Trial) {
-            quarantine.trialStarted(parts, now)
-            log.stateChange("quarantine on trial", "parts" to parts.map(PartKey::toString))
-            changed()
+            changed(quarantine.trialStarted(suspects, MonotonicTime.now()))
+            log.stateChange("quarantine on trial", *CrashReportCodec.describe(suspects))
         }
         return verdict
     }
 
-    /** Returns whether a request with [prompt] that was sent already would not be sent any more. */
-    fun isQuarantined(prompt: PromptShape): Boolean =
-        quarantine.verdict(PartKey.sharedPartsOf(prompt), MonotonicTime.now()) is QuarantineVerdict.Quarantined
+    /** Returns whether a request with [suspects] may be sent to a replica. */
+    fun verdict(suspects: Set<Suspect>): QuarantineVerdict =
+        if (quarantine.reports.isEmpty()) {
+            QuarantineVerdict.Allowed
+        } else {
+            quarantine.verdict(suspects, MonotonicTime.now())
+        }
 
-    /** Returns the reports on the crash of [incarnation]. */
-    fun reportsOn(incarnation: ReplicaIncarnation): List<CrashReport> =
-        quarantine.reports.filter { it.replica == incarnation.id && it.startedAt == incarnation.startedAt }
+    /** Returns how many times in a row replicas have crashed with one of [suspects]. */
+    fun crashesInARow(suspects: Set<Suspect>): Int = quarantine.crashesInARow(suspects)
 
-    /** Records that [prompt] was answered completely. */
-    fun answered(prompt: PromptShape) {
-        if (quarantine.answered(PartKey.sharedPartsOf(prompt), MonotonicTime.now())) changed()
-    }
+    /** Records that a request with [suspects] that was sent at [sentAt] was answered completely. */
+    fun answered(suspects: Set<Suspect>, sentAt: MonotonicTime) =
+        changed(quarantine.answered(suspects, sentAt, MonotonicTime.now()))
 
-    /** Adds a report of this gateway. */
-    fun report(report: CrashReport) {
-        add(listOf(report))
-        if (quarantine.quarantined.isNotEmpty()) stored.save()
+    /** Records that this gateway gave up [attempt], which its replica may still run. */
+    fun givenUp(attempt: GivenUpAttempt) = givenUp.add(attempt)
+
+    /** Adds a report of this gateway; returns it as merged. */
+    fun report(report: CrashReport): CrashReport {
+        val merged = add(listOf(report)).firstOrNull { it.id == report.id } ?: report
+        if (quarantine.held.isNotEmpty()) stored.save()
+        return merged
     }
 
     /** Sends what is known here to [peer], which answers with what it knows. */
-    fun linked(peer: VmId) = peers.send(peer, message(isGreeting = true))
+    fun linked(peer: VmId) = peers.send(peer, message(quarantine.reports, isGreeting = true))
 
     /** Applies the reports of [from]. */
-    fun received(from: VmId, message: PeerMessage.PromptCrashes) {
+    fun received(from: VmId, message: PeerMessage.OfCrashes) {
         val now = MonotonicTime.now()
-        add(message.reports.map { CrashReportCodec.decode(it, now) })
-        if (message.isGreeting && quarantine.reports.isNotEmpty()) peers.send(from, message(isGreeting = false))
+        val isGreeting = when (message) {
+            is PeerMessage.CrashReports -> {
+                add(message.reports.map { CrashReportCodec.decode(it, now) })
+                message.isGreeting
+            }
+            is PeerMessage.PromptCrashes -> {
+                add(message.reports.map { CrashReportCodec.decode(it, now) })
+                message.isGreeting
+            }
+            is PeerMessage.RequestCrashes -> {
+                add(message.crashes.map { CrashReportCodec.decode(it, now) })
+                message.answeredAgo.forEach { (key, ago) ->
+                    changed(quarantine.answered(setOf(RequestKey(key)), now + (-ago).milliseconds, now))
+                }
+                message.isGreeting
+            }
+        }
+        if (isGreeting && quarantine.reports.isNotEmpty()) peers.send(from, message(quarantine.reports))
     }
 
-    private fun add(reports: List<CrashReport>) {
+    private fun add(reports: List<CrashReport>): List<CrashReport> {
         val unknown = reports.filter { it !in quarantine }
-        if (!quarantine.add(reports, MonotonicTime.now())) return
+        val changed = quarantine.add(reports, MonotonicTime.now())
+        if (changed.isEmpty()) return changed
         // A crashed replica stays listed for a few seconds.
-        unknown.mapNotNull { crash -> fleet.replicas[crash.replica]?.takeIf { it.entry.startedAt == crash.startedAt } }
+        unknown.mapNotNull { report ->
+            fleet.replicas[report.incarnation.id]?.takeIf {
+                isOf(
+                    report,
+                    it.entry.startedAt
+                )
+            }
+        }
+            .distinct()
             .forEach { it.health.observe(ReplicaOutcome.UNRESPONSIVE, MonotonicTime.now()) }
-        changed()
+        changed(changed)
+        val further = unknown.distinctBy { it.incarnation }.flatMap { givenUp.reportsOf(it.incarnation, it.at) }
+        if (further.isNotEmpty()) add(further)
+        return changed
     }
 
-    /** Logs and publishes what has changed in the fleet's quarantine. */
-    fun changed() {
-        val current = quarantine.quarantined
+    private fun isOf(report: CrashReport, startedAt: Long) = report.incarnation.startedAt == startedAt
+
+    private fun changed(reports: List<CrashReport>) {
+        if (reports.isEmpty()) return
+        reports.forEach { news[it.id] = it }
+        wakeUp.trySend(Unit)
+        logHolds()
+    }
+
+    private fun logHolds() {
+        val current = quarantine.held
         val added = current - logged
-        added.forEach { log.stateChange("quarantine begun", "parts" to it.map(PartKey::toString)) }
-        (logged - current).forEach { log.stateChange("quarantine ended", "parts" to it.map(PartKey::toString)) }
+        added.forEach {
+            log.stateChange(
+                "quarantine begun",
+                *CrashReportCodec.describe(it),
+                "crashes" to crashesOf(it)
+            )
+        }
+        (logged - current).forEach { log.stateChange("quarantine ended", *CrashReportCodec.describe(it)) }
         logged = current
-        if (added.isNotEmpty()) onQuarantined()
-        updates.trySend(Unit)
+        if (added.isNotEmpty()) onHeld()
     }
 
-    private fun message(isGreeting: Boolean): PeerMessage.PromptCrashes {
+    private fun crashesOf(held: Set<Suspect>) =
+        (
+            quarantine.verdict(
+                held,
+                MonotonicTime.now()
+            ) as? QuarantineVerdict.Held
+            )?.crashes?.map(CrashReportCodec::describe)
+
+    private fun message(reports: Collection<CrashReport>, isGreeting: Boolean = false): PeerMessage.CrashReports {
         val now = MonotonicTime.now()
-        return PeerMessage.PromptCrashes(quarantine.reports.map { CrashReportCodec.encode(it, now) }, isGreeting)
+        return PeerMessage.CrashReports(reports.map { CrashReportCodec.encode(it, now) }, isGreeting)
     }
 
     private companion object {
         val MIN_INTERVAL = 10.milliseconds
-        val REPEAT_INTERVAL = 1.seconds
+        val EXPIRY_INTERVAL = 1.seconds
+        val REPEAT_INTERVAL = 5.seconds
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaNews.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaNews.kt
@@ -6,20 +6,17 @@
 /** What gateways tell each other at once of replicas: crashes, and that one leaves. */
 internal class ReplicaNews(
     private val quarantine: QuarantineTask,
-    private val requestQuarantine: RequestQuarantineTask,
     private val availability: AvailabilityTask,
 ) {
     /** Tells [peer], with which this gateway is linked now, what is known here. */
     fun linked(peer: VmId) {
         quarantine.linked(peer)
-        requestQuarantine.linked(peer)
         availability.linked(peer)
     }
 
     /** Applies [message] of [from] if it is such news. */
     fun received(from: VmId, message: PeerMessage) = when (message) {
-        is PeerMessage.PromptCrashes -> quarantine.received(from, message)
-        is PeerMessage.RequestCrashes -> requestQuarantine.received(from, message)
+        is PeerMessage.OfCrashes -> quarantine.received(from, message)
         is PeerMessage.ReplicasLeaving -> availability.received(from, message)
         else -> Unit
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoredCrashReports.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoredCrashReports.kt
@@ -15,12 +15,12 @@
 import org.guavapath.daemon.peers.PeerMessage
 import kotlin.time.Duration.Companion.seconds
 
-/** All crash reports as of [writtenAt], in Unix milliseconds. */
+/** The crash reports for which suspects are held as of [writtenAt], in Unix milliseconds. */
 @Serializable
-internal data class CrashReportRecord(val writtenAt: Long, val reports: List<PeerMessage.SharedCrash>)
+internal data class CrashReportRecord(val writtenAt: Long, val reports: List<PeerMessage.SharedCrashReport>)
 
 /**
- * The crash reports in the store, for gateways that start while no other one runs.
+ * The crash reports in the store for which suspects are held, for gateways that start while no other one runs.
  *
  * A gateway writes after its own reports only, if they led to a quarantine. Those that others wrote are kept.
  *
@@ -92,8 +92,8 @@
         // Clocks of VMs may differ and jump; a report is never younger than when it was written.
         val elapsed = maxOf(0, System.currentTimeMillis() - record.writtenAt)
         record.reports
-            .map { CrashReportCodec.decode(it.copy(ageMilliseconds = it.ageMilliseconds + elapsed), now) }
-            .filter { it.isLive(now) }
+            .map { it.copy(ageMilliseconds = it.ageMilliseconds + elapsed) }
+            .map { CrashReportCodec.decode(it.copy(sentMillisecondsAgo = it.sentMillisecondsAgo + elapsed), now) }
     } catch (exception: IllegalArgumentException) {
         log.stateChange("crash reports ignored", "error" to exception.message)
         emptyList()
@@ -102,7 +102,7 @@
     companion object {
         /** Kind of the one object that holds the reports. */
         val KIND = ObjectKind("guavapath-crash-reports")
-        private const val NAME = "all"
+        private const val NAME = "held"
         private val RETRY_INTERVAL = 2.seconds
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -12,13 +12,12 @@
 import org.guavapath.core.limits.LimitMessage
 import org.guavapath.core.limits.SlotTable
 import org.guavapath.core.platform.ObjectVersion
-import org.guavapath.core.quarantine.CrashStage
 
 /** Version of the protocol that all linked daemons understand; both ends must have the same. */
 internal const val PROTOCOL_VERSION = 2
 
 /** Highest version that this build understands; a peer receives no message of a version later than its own. */
-internal const val HIGHEST_PROTOCOL_VERSION = 6
+internal const val HIGHEST_PROTOCOL_VERSION = 7
 
 /** The version that introduced rates of replicas and eras of the store. */
 private const val VERSION_OF_RATES_AND_ERAS = 3
@@ -32,6 +31,9 @@
 /** The version that introduced replicas that say that they leave. */
 private const val VERSION_OF_LEAVING_REPLICAS = 6
 
+/** The version that introduced crash reports with all suspects of a request. */
+private const val VERSION_OF_CRASH_REPORTS = 7
+
 /** A message between two daemons. */
 @Serializable
 internal sealed class PeerMessage {
@@ -195,13 +197,71 @@
     @Serializable
     data class PromptsRead(val steps: Map<String, List<Long>>) : OfFleet()
 
+    /** A message about crashes of replicas. */
+    @Serializable
+    sealed class OfCrashes : OfFleet()
+
+    /**
+     * Requests that replicas had when they ended.
+     *
+     * @property isGreeting whether the link is new, so that the receiver answers with what it knows
+     */
+    @Serializable
+    data class CrashReports(val reports: List<SharedCrashReport>, val isGreeting: Boolean) : OfCrashes() {
+        override val sinceVersion: Int get() = VERSION_OF_CRASH_REPORTS
+
+        override fun forVersion(version: Int): PeerMessage? =
+            super.forVersion(version) ?: PromptCrashes(reports.mapNotNull { it.forEarlierVersions() }, isGreeting)
+    }
+
+    /** Hashes of parts of prompts, and of whole requests. */
+    @Serializable
+    data class SharedSuspects(val parts: List<Long>, val requests: List<Long>)
+
+    /**
+     * One crash report.
+     *
+     * @property startedAt start of the incarnation that crashed, in Unix milliseconds
+     * @property sentMillisecondsAgo time since the request was sent
+     * @property ageMilliseconds time since the crash
+     */
+    @Serializable
+    data class SharedCrashReport(
+        val replica: String,
+        val startedAt: Long,
+        val request: RequestId,
+        val sentMillisecondsAgo: Long,
+        val ageMilliseconds: Long,
+        val suspects: SharedSuspects,
+        val isStalled: Boolean,
+        val answeredBefore: SharedSuspects,
+        val answeredSince: SharedSuspects,
+        val trials: Int,
+    ) {
+        /** Returns the report for builds that know parts of prompts only, null if the request has none. */
+        fun forEarlierVersions(): SharedCrash? = SharedCrash(
+            replica,
+            startedAt,
+            request,
+            ageMilliseconds,
+            if (isStalled) CrashStage.BEFORE_FIRST_EVENT else CrashStage.JUST_BEGUN,
+            suspects.parts,
+            answeredBefore.parts,
+            answeredSince.parts,
+            trials,
+        ).takeIf { suspects.parts.isNotEmpty() }
+    }
+
+    /** How far a response had come when its replica crashed, in messages of builds before [VERSION_OF_CRASH_REPORTS]. */
+    enum class CrashStage { BEFORE_FIRST_EVENT, JUST_BEGUN }
+
     /**
-     * All that the sender knows of crashes that prompts may have caused.
+     * All that the sender, of a build before [VERSION_OF_CRASH_REPORTS], knows of crashes that prompts may have caused.
      *
      * @property isGreeting whether the link is new, so that the receiver answers with what it knows
      */
     @Serializable
-    data class PromptCrashes(val reports: List<SharedCrash>, val isGreeting: Boolean) : OfFleet()
+    data class PromptCrashes(val reports: List<SharedCrash>, val isGreeting: Boolean) : OfCrashes()
 
     /**
      * One crash report; parts of prompts are hashes.
@@ -223,7 +283,7 @@
     )
 
     /**
-     * Crashes of replicas that had certain requests, and which of these requests were answered since.
+     * Crashes of replicas that had certain requests, in messages of builds before [VERSION_OF_CRASH_REPORTS], and which of these requests were answered since.
      *
      * @property answeredAgo by key, milliseconds since a request like it was answered completely
      * @property isGreeting whether the link is new, so that the receiver answers with what it knows
@@ -233,7 +293,7 @@
         val crashes: List<SharedRequestCrash>,
         val answeredAgo: Map<Long, Long>,
         val isGreeting: Boolean,
-    ) : OfFleet() {
+    ) : OfCrashes() {
         override val sinceVersion: Int get() = VERSION_OF_SUSPECTS_AND_AGES
     }
 
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
@@ -11,22 +11,29 @@
 import org.guavapath.core.fleet.PromptPart
 import org.guavapath.core.fleet.PromptShape
 import org.guavapath.core.fleet.ReplicaId
+import org.guavapath.core.fleet.ReplicaIncarnation
 import org.guavapath.core.identity.FailureDomainName
 import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.RequestId
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.quarantine.CrashReport
-import org.guavapath.core.quarantine.CrashStage
 import org.guavapath.core.quarantine.PartKey
+import org.guavapath.core.quarantine.QuarantineVerdict
+import org.guavapath.core.quarantine.RequestKey
+import org.guavapath.core.quarantine.Suspect
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.peers.HIGHEST_PROTOCOL_VERSION
 import org.guavapath.daemon.peers.PeerMessage
 import org.guavapath.platform.wire.SampleFleet
 import java.util.concurrent.Callable
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
@@ -45,7 +52,7 @@
         override fun broadcast(message: PeerMessage) = linked().forEach { send(it, message) }
 
         override fun send(to: VmId, message: PeerMessage) {
-            if (to !in linked() || message !is PeerMessage.PromptCrashes) return
+            if (to !in linked() || message !is PeerMessage.OfCrashes) return
             loop.execute { gateways[to]?.received(self, message) }
         }
     }
@@ -60,23 +67,29 @@
         return task
     }
 
-    private fun report(task: QuarantineTask) = onLoop {
-        val parts = PartKey.sharedPartsOf(prompt)
-        val replica = ReplicaId("replica")
-        val at = MonotonicTime.now()
-        task.report(CrashReport(replica, 1, RequestId("1"), at, CrashStage.BEFORE_FIRST_EVENT, parts))
+    /** Reports that the requests with [suspects] each crashed a replica, one after the other. */
+    private fun report(task: QuarantineTask, suspects: Set<Suspect> = PartKey.partsOf(prompt)) = onLoop {
+        val now = MonotonicTime.now()
+        repeat(CRASHES) { number ->
+            val incarnation = ReplicaIncarnation(ReplicaId("replica-$number"), 1)
+            val at = now + -1.seconds * (CRASHES - number)
+            task.report(CrashReport(incarnation, RequestId("$number"), at, at, suspects + RequestKey(number.toLong())))
+        }
     }
 
     private fun <T> onLoop(block: () -> T): T = loop.submit(Callable { block() }).get(5, TimeUnit.SECONDS)
 
     private fun awaitQuarantine(task: QuarantineTask, name: String) {
         val until = TimeSource.Monotonic.markNow() + TIMEOUT
-        while (!onLoop { task.isQuarantined(prompt) }) {
+        while (!onLoop { isHeld(task, PartKey.partsOf(prompt)) }) {
             assertTrue(until.hasNotPassedNow(), name)
             Thread.sleep(POLL.inWholeMilliseconds)
         }
     }
 
+    private fun isHeld(task: QuarantineTask, suspects: Set<Suspect>) =
+        task.verdict(suspects) is QuarantineVerdict.Held
+
     @AfterTest
     fun stop() {
         scope.cancel()
@@ -107,7 +120,68 @@
         awaitQuarantine(second, "received from a peer")
     }
 
+    /** Guards against crashes by requests that a gateway gives up just before, so that nothing shows their cause. */
+    @Test
+    fun requestsThatWereGivenUpJustBeforeACrashAreSuspected() {
+        class Case(val name: String, val givenUpBefore: Duration, val startedAt: Long, val isHeld: Boolean)
+        val cases = listOf(
+            Case("a second before", 1.seconds, startedAt = 1, isHeld = true),
+            Case("a minute before", 1.minutes, startedAt = 1, isHeld = false),
+            Case("on the incarnation before", 1.seconds, startedAt = 0, isHeld = false),
+        )
+        cases.forEachIndexed { index, case ->
+            val task = start(case.name)
+            val suspects = setOf<Suspect>(PartKey(index.toLong()))
+            onLoop {
+                val now = MonotonicTime.now()
+                repeat(CRASHES) { number ->
+                    val id = ReplicaId("replica-$number")
+                    val at = now + -1.seconds * (CRASHES - number)
+                    val givenUpAt = at + -case.givenUpBefore
+                    val incarnation = ReplicaIncarnation(id, case.startedAt)
+                    val request = RequestId("given-up-$number")
+                    task.givenUp(GivenUpAttempt(incarnation, request, suspects, givenUpAt + -1.seconds, givenUpAt))
+                    val beside = setOf<Suspect>(RequestKey(number.toLong()))
+                    task.report(CrashReport(ReplicaIncarnation(id, 1), RequestId("$number"), at, at, beside))
+                }
+            }
+            assertEquals(case.isHeld, onLoop { isHeld(task, suspects) }, case.name)
+        }
+    }
+
+    /** Guards against a rollout of gateways in which neither build learns of the other's crashes. */
+    @Test
+    fun reportsOfTheBuildBeforeAreUnderstoodAndTheOtherWayRound() {
+        val old = PeerMessage.PromptCrashes(
+            List(CRASHES) {
+                val stage = PeerMessage.CrashStage.BEFORE_FIRST_EVENT
+                PeerMessage.SharedCrash("replica-$it", 1, RequestId(
+                    "$it"
+                ), 1_000L, stage, listOf(7), listOf(), listOf(), 0)
+            },
+            isGreeting = false,
+        )
+        val task = start("vm-1")
+        onLoop { task.received(VmId("vm-2"), old) }
+        assertEquals(true, onLoop { isHeld(task, setOf(PartKey(7))) })
+        val now = MonotonicTime.now()
+        val incarnation = ReplicaIncarnation(ReplicaId("replica"), 1)
+        val report = CrashReport(
+            incarnation,
+            RequestId("1"),
+            now,
+            now,
+            setOf(PartKey(7), RequestKey(8)),
+            isStalled = true
+        )
+        val sent = PeerMessage.CrashReports(listOf(CrashReportCodec.encode(report, now)), isGreeting = true)
+        val expected = old.reports.first().copy(replica = "replica", request = RequestId("1"), ageMilliseconds = 0)
+        assertEquals(PeerMessage.PromptCrashes(listOf(expected), isGreeting = true), sent.forVersion(2))
+        assertEquals(sent, sent.forVersion(HIGHEST_PROTOCOL_VERSION))
+    }
+
     private companion object {
+        const val CRASHES = 3
         val TIMEOUT = 5.seconds
         val POLL = 10.milliseconds
     }
