--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashQuarantine.kt
@@ -22,11 +22,11 @@
 
         /** A wrong hold refuses sound requests, a trial with the cause crashes a replica. */
         private val duration: Duration get() {
-            val depth = suspicion.row.depth
+            val crashes = suspicion.row.incarnations.size
             val (first, doublings) = when {
-                isOfWholeRequest -> LONG_HOLD to depth - Suspicion.SUFFICIENT_WEIGHT
-                depth >= Suspicion.MAX_WEIGHT -> LONG_HOLD to depth - Suspicion.MAX_WEIGHT
-                else -> SHORT_HOLD to depth - Suspicion.SUFFICIENT_WEIGHT
+                isOfWholeRequest -> LONG_HOLD to suspicion.row.depth - Suspicion.SUFFICIENT_WEIGHT
+                crashes >= Suspicion.MAX_WEIGHT -> LONG_HOLD to crashes - Suspicion.MAX_WEIGHT
+                else -> SHORT_HOLD to crashes - Suspicion.SUFFICIENT_WEIGHT
             }
             return if (doublings >= MAX_DOUBLINGS) LONGEST_HOLD else first * (1 shl doublings.coerceAtLeast(0))
         }
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashReport.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashReport.kt
@@ -41,7 +41,10 @@
     /** Whether no suspect is left. */
     internal val isSettled: Boolean get() = answeredSince.containsAll(suspects)
 
+    /** The earliest times are the best known: those that other VMs tell are late by the time on the way. */
     internal fun merge(other: CrashReport): CrashReport = copy(
+        sentAt = minOf(sentAt, other.sentAt),
+        at = minOf(at, other.at),
         isStalled = isStalled || other.isStalled,
         answeredBefore = answeredBefore + other.answeredBefore,
         answeredSince = answeredSince + other.answeredSince,
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
@@ -38,10 +38,14 @@
     /** Number of crashes in a row. */
     val depth: Int get() = moments.size
 
-    /** Evidence against the suspect: a crash with a stalled response is as much as [STALLED_WEIGHT] others. */
-    val weight: Int = moments.sumOf { moment ->
-        if (suspect is PartKey && moment.any { it.isStalled }) STALLED_WEIGHT else 1
-    }
+    /**
+     * Evidence against the suspect: a crash with a stalled response is as much as [STALLED_WEIGHT] others. What is lost
+     * at one moment is not lost again at another one.
+     */
+    val weight: Int = maxOf(
+        moments.sumOf { moment -> if (suspect is PartKey && moment.any { it.isStalled }) STALLED_WEIGHT else 1 },
+        if (moments.size > 1 && crashes.size >= Suspicion.MAX_WEIGHT) Suspicion.MAX_WEIGHT else 1,
+    )
     val wasAnswered: Boolean = crashes.any { crash -> crash.reports.any { suspect in it.answeredBefore } }
     val reports: List<CrashReport> get() = crashes.flatMap { it.reports }
 
@@ -53,14 +57,6 @@
     /** The first crash of each depth. */
     val firstOfEachDepth: List<SuspectedCrash> get() = moments.map { it.first() }
 
-    /** Returns the row without the crashes of [explained], null if none is left. */
-    fun without(explained: Set<ReplicaIncarnation>): CrashRow? =
-        if (incarnations.none { it in explained }) {
-            this
-        } else {
-            crashes.filter { it.incarnation !in explained }.takeIf { it.isNotEmpty() }?.let { CrashRow(suspect, it) }
-        }
-
     private fun depths() = IntArray(crashes.size).also { depths ->
         crashes.forEachIndexed { index, crash ->
             val earliestNext = maxOf(crash.at + -ONE_MOMENT, crash.sentAt)
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
@@ -2,16 +2,13 @@
  * Decides which suspects explain the crashes of replicas. Answers the load of an input that ends each worker that
  * takes it, among sound ones that share parts with it and run beside it.
  *
- * The suspect with the most evidence is held if that suffices, and the crashes that it explains do not count for
- * others, until no suspect is left whose evidence suffices. A suspect is held together with those that were in all the
- * same requests, as nothing tells them apart: only requests with all of them are refused. Suspects that were answered
- * before need more evidence, and are not held together with those that were not.
+ * A suspect is held if its evidence suffices, unless others that are held explain each of its crashes. Suspects that
+ * were answered before need more evidence, and so do all while many crashes have no explanation. A suspect is held
+ * together with those that were in all the same requests, as nothing tells them apart: only requests with all of them
+ * are refused.
  */
 package org.guavapath.core.quarantine
 
-import org.guavapath.core.fleet.ReplicaIncarnation
-import org.guavapath.core.time.MonotonicTime
-
 /**
  * Suspects that are held together.
  *
@@ -26,32 +23,15 @@
         /** No request with the cause may be sent after that many crashes. */
         const val MAX_WEIGHT = 5
 
-        /** A part needs more evidence among that many other crashes for each of its own. */
-        private const val CROWD = 2
-
-        private val strongestFirst = compareByDescending<CrashRow> { it.weight }.thenBy { it.wasAnswered }
+        /** Those that were answered before, and those with least evidence, are explained by others first. */
+        private val weakestFirst = compareByDescending<CrashRow> { it.wasAnswered }.thenBy { it.weight }
 
-        /** Returns which suspects explain the crashes of [rows], the strongest first. */
+        /** Returns which suspects explain the crashes of [rows]. */
         fun of(rows: Collection<CrashRow>): List<Suspicion> {
-            val all = ArrayList<Suspicion>()
-            var left = rows.toList()
-            while (true) {
-                val times = left.flatMap { it.crashes }.associate { it.incarnation to it.at }
-                val sufficient = left.filter { it.weight >= SUFFICIENT_WEIGHT }
-                    .filter { it.weight >= neededFor(it, times) }
-                val strongest = sufficient.minWithOrNull(strongestFirst) ?: return all
-                val equal = sufficient.filter { strongestFirst.compare(it, strongest) == 0 }
-                all += suspicions(equal, left)
-                val explained = equal.flatMap { it.incarnations }.toSet()
-                left = left.mapNotNull { it.without(explained) }
-            }
-        }
-
-        private fun suspicions(equal: List<CrashRow>, rows: List<CrashRow>): List<Suspicion> {
-            val together = equal.groupBy { row ->
-                rows.filter { it.requests.containsAll(row.requests) && (row.wasAnswered || !it.wasAnswered) }
-                    .map { it.suspect }.toSet()
-            }
+            val likely = rows.filter { it.weight >= sufficientWeight(it) }
+            if (likely.isEmpty()) return emptyList()
+            val causes = withoutExplained(likely.filter { it.weight >= minOf(MAX_WEIGHT, neededFor(it, likely, rows)) })
+            val together = causes.groupBy { cause -> inAllRequestsOf(cause, rows) }
             return together.map { (suspects, ofThem) ->
                 val others = (together - setOf(suspects)).values.flatten()
                 val row = ofThem.first()
@@ -59,14 +39,31 @@
             }
         }
 
-        /** @param times when the incarnations ended whose crashes are not explained yet */
-        private fun neededFor(row: CrashRow, times: Map<ReplicaIncarnation, MonotonicTime>): Int = when (row.suspect) {
-            is RequestKey -> SUFFICIENT_WEIGHT
-            is PartKey -> {
-                val span = row.crashes.first().at..row.newestAt
-                val others = times.count { (incarnation, at) -> at in span && incarnation !in row.incarnations }
-                SUFFICIENT_WEIGHT + (if (row.wasAnswered) 1 else 0) + (if (others >= CROWD * row.depth) 1 else 0)
+        private fun sufficientWeight(row: CrashRow) =
+            if (row.suspect is PartKey && row.wasAnswered) SUFFICIENT_WEIGHT + 1 else SUFFICIENT_WEIGHT
+
+        /** One more crash is needed for each time that as many others are unexplained while they happened. */
+        private fun neededFor(row: CrashRow, likely: List<CrashRow>, rows: Collection<CrashRow>): Int {
+            val explained = likely.filter { it !== row }.flatMapTo(HashSet()) { it.incarnations } + row.incarnations
+            val span = row.crashes.first().at..row.newestAt
+            val others = rows.flatMap { it.crashes }.filter { it.at in span && it.incarnation !in explained }
+            return sufficientWeight(row) + others.map { it.incarnation }.toSet().size / row.depth
+        }
+
+        /** Returns [rows] without those that have no crash of their own; those with the same crashes are kept. */
+        private fun withoutExplained(rows: List<CrashRow>): List<CrashRow> {
+            var left = rows
+            rows.sortedWith(weakestFirst).forEach { row ->
+                val others = left.filter { it.incarnations != row.incarnations || weakestFirst.compare(it, row) != 0 }
+                val explained = others.flatMapTo(HashSet()) { it.incarnations }
+                if (explained.containsAll(row.incarnations)) left = left - row
             }
+            return left
         }
+
+        /** Returns the suspects that were in each request of [cause], not answered before unless it was. */
+        private fun inAllRequestsOf(cause: CrashRow, rows: Collection<CrashRow>): Set<Suspect> =
+            rows.filter { it.requests.containsAll(cause.requests) && (cause.wasAnswered || !it.wasAnswered) }
+                .map { it.suspect }.toSet()
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -16,10 +16,10 @@
     /** Records that the response to [attempt] is complete. */
     fun answered(attempt: Attempt, admitted: AdmittedRequest) {
         quarantine.answered(admitted.suspects, attempt.startedAt)
-        if (admitted.request.prompt == null) return
-        val headAt = attempt.progress.headAt ?: return
-        val pause = (attempt.progress.firstBytesAt ?: return) - headAt
-        pauses.getOrPut(admitted.service.name) { FirstEventPauses() }.record(pause)
+        val headAt = attempt.progress.headAt
+        val firstBytesAt = attempt.progress.firstBytesAt
+        if (admitted.request.prompt == null || headAt == null || firstBytesAt == null) return
+        pauses.getOrPut(admitted.service.name) { FirstEventPauses() }.record(firstBytesAt - headAt)
     }
 
     /**
@@ -36,8 +36,8 @@
     }
 
     /**
-     * Remembers [attempt], which the gateway gives up: its replica may go on with it, or has ended and the connection is
-     * about to close. The replica is watched if replicas have crashed with such requests.
+     * Remembers [attempt], which the gateway gives up: its replica may go on with it, or has ended and the connection
+     * is about to close. The replica is watched if replicas have crashed with such requests.
      */
     fun givenUp(attempt: Attempt, admitted: AdmittedRequest) {
         val now = MonotonicTime.now()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashReportCodec.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashReportCodec.kt
@@ -62,11 +62,12 @@
         return CrashReport(incarnation, shared.request, sentAt = at, at, setOf(RequestKey(shared.key)))
     }
 
-    /** Returns the part of [suspects] that is a whole request, and the parts of its prompt, as logs name them. */
-    fun describe(suspects: Set<Suspect>): Array<Pair<String, Any?>> = arrayOf(
-        "parts" to suspects.filterIsInstance<PartKey>().map(PartKey::toString),
-        "requestKey" to suspects.filterIsInstance<RequestKey>().firstOrNull()?.toString(),
-    )
+    /** Returns the parts of prompts among [suspects] as logs name them. */
+    fun partsIn(suspects: Set<Suspect>): List<String> = suspects.filterIsInstance<PartKey>().map { it.toString() }
+
+    /** Returns the whole request among [suspects] as logs name it, null if there is none. */
+    fun requestIn(suspects: Set<Suspect>): String? =
+        suspects.filterIsInstance<RequestKey>().firstOrNull()?.toString()
 
     /** Returns [report] as logs and operators name it. */
     fun describe(report: CrashReport): String =
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -9,7 +9,6 @@
 import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.placement.PlacementResult
 import org.guavapath.core.quarantine.CrashReport
-import org.guavapath.core.quarantine.PartKey
 import org.guavapath.core.quota.BucketReading
 import org.guavapath.core.throttling.PermitDecision
 import org.guavapath.core.throttling.RequestRate
@@ -133,7 +132,7 @@
             "othersRunning" to cutOff.othersRunning,
             "promptTokens" to admitted.request.prompt?.promptTokens,
             "parts" to admitted.request.prompt?.parts?.map { it.id },
-            "partKeys" to report.suspects.filterIsInstance<PartKey>().map(PartKey::toString),
+            "partKeys" to CrashReportCodec.partsIn(report.suspects),
             "isStalled" to report.isStalled,
             "answeredBefore" to report.answeredBefore.map { it.toString() },
             "answeredSince" to report.answeredSince.map { it.toString() },
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -1,11 +1,8 @@
 package org.guavapath.daemon.gateway
 
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.guavapath.core.fleet.ReplicaIncarnation
-import org.guavapath.core.identity.RequestId
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.placement.ReplicaOutcome
 import org.guavapath.core.quarantine.CrashReport
@@ -18,27 +15,27 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Reports the requests that replicas had when they ended, and keeps the other gateways informed of them.
+ * Reports the requests that replicas had when they ended, and keeps requests with their causes away from replicas.
  *
- * News is sent at once, and everything is repeated while it matters, so that gateways that have missed some receive it
- * too. A gateway that starts takes the reports from the store and from each gateway that it links with.
+ * A gateway that starts takes the reports from the store and from each gateway that it links with.
  */
 internal class QuarantineTask(
     private val fleet: FleetState,
-    private val peers: GatewayPeers,
+    peers: GatewayPeers,
     private val stored: StoredCrashReports,
-    private val log: GatewayLog,
+    log: GatewayLog,
 ) {
     private val quarantine get() = fleet.quarantine
-    private val wakeUp = Channel<Unit>(Channel.CONFLATED)
-    private val news = LinkedHashMap<Pair<ReplicaIncarnation, RequestId>, CrashReport>()
     private val givenUp = GivenUpAttempts()
-    private var logged = emptySet<Set<Suspect>>()
+    private val holdLog = HoldLog(quarantine, log)
+
+    /** Informs the other gateways. */
+    val exchange = CrashReportExchange(quarantine, peers)
 
     /** Called when further suspects are held. */
     var onHeld: () -> Unit = {}
 
-    /** Reads the stored reports, and publishes reports when they have changed, and periodically. */
+    /** Reads the stored reports, publishes reports and forgets old ones. */
     suspend fun run(scope: CoroutineScope) {
         val addStored = { reports: List<CrashReport> ->
             add(reports)
@@ -47,25 +44,11 @@
         scope.launch { stored.load { addStored(it) } }
         scope.launch { stored.keepSaved(addStored) }
         scope.launch { stored.watchRestores { if (quarantine.held.isNotEmpty()) stored.save() } }
-        scope.launch {
-            while (true) {
-                delay(EXPIRY_INTERVAL)
-                quarantine.expire(MonotonicTime.now())
-                logHolds()
-            }
-        }
-        scope.launch {
-            while (true) {
-                delay(REPEAT_INTERVAL)
-                if (quarantine.reports.isNotEmpty()) peers.broadcast(message(quarantine.reports))
-            }
-        }
+        scope.launch { exchange.run(scope) }
         while (true) {
-            wakeUp.receive()
-            val reports = news.values.toList()
-            news.clear()
-            if (reports.isNotEmpty()) peers.broadcast(message(reports))
-            delay(MIN_INTERVAL)
+            delay(EXPIRY_INTERVAL)
+            quarantine.expire(MonotonicTime.now())
+            if (holdLog.update()) onHeld()
         }
     }
 
@@ -74,7 +57,7 @@
         val verdict = verdict(suspects)
         if (verdict == QuarantineVerdict.Trial) {
             changed(quarantine.trialStarted(suspects, MonotonicTime.now()))
-            log.stateChange("quarantine on trial", *CrashReportCodec.describe(suspects))
+            holdLog.trial(suspects)
         }
         return verdict
     }
@@ -104,9 +87,6 @@
         return merged
     }
 
-    /** Sends what is known here to [peer], which answers with what it knows. */
-    fun linked(peer: VmId) = peers.send(peer, message(quarantine.reports, isGreeting = true))
-
     /** Applies the reports of [from]. */
     fun received(from: VmId, message: PeerMessage.OfCrashes) {
         val now = MonotonicTime.now()
@@ -127,70 +107,31 @@
                 message.isGreeting
             }
         }
-        if (isGreeting && quarantine.reports.isNotEmpty()) peers.send(from, message(quarantine.reports))
+        if (isGreeting) exchange.greeted(from)
     }
 
     private fun add(reports: List<CrashReport>): List<CrashReport> {
         val unknown = reports.filter { it !in quarantine }
         val changed = quarantine.add(reports, MonotonicTime.now())
         if (changed.isEmpty()) return changed
+        val crashed = unknown.distinctBy { it.incarnation }
         // A crashed replica stays listed for a few seconds.
-        unknown.mapNotNull { report ->
-            fleet.replicas[report.incarnation.id]?.takeIf {
-                isOf(
-                    report,
-                    it.entry.startedAt
-                )
-            }
-        }
-            .distinct()
+        crashed.mapNotNull { fleet.replicas[it.incarnation.id] }
+            .filter { replica -> crashed.any { it.incarnation == replica.entry.incarnation } }
             .forEach { it.health.observe(ReplicaOutcome.UNRESPONSIVE, MonotonicTime.now()) }
         changed(changed)
-        val further = unknown.distinctBy { it.incarnation }.flatMap { givenUp.reportsOf(it.incarnation, it.at) }
+        val further = crashed.flatMap { givenUp.reportsOf(it.incarnation, it.at) }
         if (further.isNotEmpty()) add(further)
         return changed
     }
 
-    private fun isOf(report: CrashReport, startedAt: Long) = report.incarnation.startedAt == startedAt
-
     private fun changed(reports: List<CrashReport>) {
         if (reports.isEmpty()) return
-        reports.forEach { news[it.id] = it }
-        wakeUp.trySend(Unit)
-        logHolds()
-    }
-
-    private fun logHolds() {
-        val current = quarantine.held
-        val added = current - logged
-        added.forEach {
-            log.stateChange(
-                "quarantine begun",
-                *CrashReportCodec.describe(it),
-                "crashes" to crashesOf(it)
-            )
-        }
-        (logged - current).forEach { log.stateChange("quarantine ended", *CrashReportCodec.describe(it)) }
-        logged = current
-        if (added.isNotEmpty()) onHeld()
-    }
-
-    private fun crashesOf(held: Set<Suspect>) =
-        (
-            quarantine.verdict(
-                held,
-                MonotonicTime.now()
-            ) as? QuarantineVerdict.Held
-            )?.crashes?.map(CrashReportCodec::describe)
-
-    private fun message(reports: Collection<CrashReport>, isGreeting: Boolean = false): PeerMessage.CrashReports {
-        val now = MonotonicTime.now()
-        return PeerMessage.CrashReports(reports.map { CrashReportCodec.encode(it, now) }, isGreeting)
+        exchange.publish(reports)
+        if (holdLog.update()) onHeld()
     }
 
     private companion object {
-        val MIN_INTERVAL = 10.milliseconds
         val EXPIRY_INTERVAL = 1.seconds
-        val REPEAT_INTERVAL = 5.seconds
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaNews.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaNews.kt
@@ -10,7 +10,7 @@
 ) {
     /** Tells [peer], with which this gateway is linked now, what is known here. */
     fun linked(peer: VmId) {
-        quarantine.linked(peer)
+        quarantine.exchange.linked(peer)
         availability.linked(peer)
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -252,7 +252,7 @@
         ).takeIf { suspects.parts.isNotEmpty() }
     }
 
-    /** How far a response had come when its replica crashed, in messages of builds before [VERSION_OF_CRASH_REPORTS]. */
+    /** How far a response had come when its replica crashed, as builds before [VERSION_OF_CRASH_REPORTS] say it. */
     enum class CrashStage { BEFORE_FIRST_EVENT, JUST_BEGUN }
 
     /**
@@ -283,7 +283,8 @@
     )
 
     /**
-     * Crashes of replicas that had certain requests, in messages of builds before [VERSION_OF_CRASH_REPORTS], and which of these requests were answered since.
+     * Crashes of replicas that had certain requests, and which of these requests were answered since; sent by builds
+     * before [VERSION_OF_CRASH_REPORTS].
      *
      * @property answeredAgo by key, milliseconds since a request like it was answered completely
      * @property isGreeting whether the link is new, so that the receiver answers with what it knows
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
@@ -116,35 +116,36 @@
         val second = start("vm-2") { linked }
         report(first)
         linked = everyone
-        onLoop { second.linked(VmId("vm-1")) }
+        onLoop { second.exchange.linked(VmId("vm-1")) }
         awaitQuarantine(second, "received from a peer")
     }
 
+    /** Reports the crash of a replica on which a request with [suspects] had been [givenUp]. */
+    private fun reportBeside(task: QuarantineTask, givenUp: GivenUpCase, suspects: Set<Suspect>, number: Int) {
+        val id = ReplicaId("replica-$number")
+        val at = MonotonicTime.now() + -1.seconds * (CRASHES - number)
+        val givenUpAt = at + -givenUp.before
+        val incarnation = ReplicaIncarnation(id, givenUp.startedAt)
+        val request = RequestId("given-up-$number")
+        task.givenUp(GivenUpAttempt(incarnation, request, suspects, givenUpAt + -1.seconds, givenUpAt))
+        val others = setOf<Suspect>(RequestKey(number.toLong()))
+        task.report(CrashReport(ReplicaIncarnation(id, 1), RequestId("$number"), at, at, others))
+    }
+
+    private class GivenUpCase(val name: String, val before: Duration, val startedAt: Long, val isHeld: Boolean)
+
     /** Guards against crashes by requests that a gateway gives up just before, so that nothing shows their cause. */
     @Test
     fun requestsThatWereGivenUpJustBeforeACrashAreSuspected() {
-        class Case(val name: String, val givenUpBefore: Duration, val startedAt: Long, val isHeld: Boolean)
         val cases = listOf(
-            Case("a second before", 1.seconds, startedAt = 1, isHeld = true),
-            Case("a minute before", 1.minutes, startedAt = 1, isHeld = false),
-            Case("on the incarnation before", 1.seconds, startedAt = 0, isHeld = false),
+            GivenUpCase("a second before", 1.seconds, startedAt = 1, isHeld = true),
+            GivenUpCase("a minute before", 1.minutes, startedAt = 1, isHeld = false),
+            GivenUpCase("on the incarnation before", 1.seconds, startedAt = 0, isHeld = false),
         )
         cases.forEachIndexed { index, case ->
             val task = start(case.name)
             val suspects = setOf<Suspect>(PartKey(index.toLong()))
-            onLoop {
-                val now = MonotonicTime.now()
-                repeat(CRASHES) { number ->
-                    val id = ReplicaId("replica-$number")
-                    val at = now + -1.seconds * (CRASHES - number)
-                    val givenUpAt = at + -case.givenUpBefore
-                    val incarnation = ReplicaIncarnation(id, case.startedAt)
-                    val request = RequestId("given-up-$number")
-                    task.givenUp(GivenUpAttempt(incarnation, request, suspects, givenUpAt + -1.seconds, givenUpAt))
-                    val beside = setOf<Suspect>(RequestKey(number.toLong()))
-                    task.report(CrashReport(ReplicaIncarnation(id, 1), RequestId("$number"), at, at, beside))
-                }
-            }
+            onLoop { repeat(CRASHES) { reportBeside(task, case, suspects, it) } }
             assertEquals(case.isHeld, onLoop { isHeld(task, suspects) }, case.name)
         }
     }
@@ -152,31 +153,22 @@
     /** Guards against a rollout of gateways in which neither build learns of the other's crashes. */
     @Test
     fun reportsOfTheBuildBeforeAreUnderstoodAndTheOtherWayRound() {
-        val old = PeerMessage.PromptCrashes(
-            List(CRASHES) {
-                val stage = PeerMessage.CrashStage.BEFORE_FIRST_EVENT
-                PeerMessage.SharedCrash("replica-$it", 1, RequestId(
-                    "$it"
-                ), 1_000L, stage, listOf(7), listOf(), listOf(), 0)
-            },
-            isGreeting = false,
-        )
+        val stage = PeerMessage.CrashStage.BEFORE_FIRST_EVENT
+        val parts = listOf(7L)
+        val none = emptyList<Long>()
+        val old = List(CRASHES) {
+            PeerMessage.SharedCrash("replica-$it", 1, RequestId("$it"), 1_000L, stage, parts, none, none, trials = 0)
+        }
         val task = start("vm-1")
-        onLoop { task.received(VmId("vm-2"), old) }
+        onLoop { task.received(VmId("vm-2"), PeerMessage.PromptCrashes(old, isGreeting = false)) }
         assertEquals(true, onLoop { isHeld(task, setOf(PartKey(7))) })
         val now = MonotonicTime.now()
-        val incarnation = ReplicaIncarnation(ReplicaId("replica"), 1)
-        val report = CrashReport(
-            incarnation,
-            RequestId("1"),
-            now,
-            now,
-            setOf(PartKey(7), RequestKey(8)),
-            isStalled = true
-        )
+        val suspects = setOf(PartKey(7), RequestKey(8))
+        val incarnation = ReplicaIncarnation(ReplicaId("replica-0"), 1)
+        val report = CrashReport(incarnation, RequestId("0"), now, now, suspects, isStalled = true)
         val sent = PeerMessage.CrashReports(listOf(CrashReportCodec.encode(report, now)), isGreeting = true)
-        val expected = old.reports.first().copy(replica = "replica", request = RequestId("1"), ageMilliseconds = 0)
-        assertEquals(PeerMessage.PromptCrashes(listOf(expected), isGreeting = true), sent.forVersion(2))
+        val expected = PeerMessage.PromptCrashes(listOf(old.first().copy(ageMilliseconds = 0)), isGreeting = true)
+        assertEquals(expected, sent.forVersion(2))
         assertEquals(sent, sent.forVersion(HIGHEST_PROTOCOL_VERSION))
     }
 
