--- a/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
@@ -9,6 +9,8 @@
  */
 package org.guavapath.core.quarantine
 
+import kotlin.time.Duration.Companion.seconds
+
 /**
  * Suspects that are held together.
  *
@@ -23,6 +25,9 @@
         /** No request with the cause may be sent after that many crashes. */
         const val MAX_WEIGHT = 5
 
+        /** Replicas that are lost one after the other, for a cause of their own, follow each other within that time. */
+        private val SERIES_PAUSE = 10.seconds
+
         /** Those that were answered before, and those with least evidence, are explained by others first. */
         private val weakestFirst = compareByDescending<CrashRow> { it.wasAnswered }.thenBy { it.weight }
 
@@ -45,7 +50,7 @@
         /** One more crash is needed for each time that as many others are unexplained while they happened. */
         private fun neededFor(row: CrashRow, likely: List<CrashRow>, rows: Collection<CrashRow>): Int {
             val explained = likely.filter { it !== row }.flatMapTo(HashSet()) { it.incarnations } + row.incarnations
-            val span = row.crashes.first().at..row.newestAt
+            val span = row.crashes.first().at + -SERIES_PAUSE..row.newestAt
             val others = rows.flatMap { it.crashes }.filter { it.at in span && it.incarnation !in explained }
             return sufficientWeight(row) + others.map { it.incarnation }.toSet().size / row.depth
         }
