--- a/cli/src/main/kotlin/org/guavapath/cli/Explanation.kt
+++ b/cli/src/main/kotlin/org/guavapath/cli/Explanation.kt
@@ -47,7 +47,7 @@
             val start = timeOf(requestLines.first())?.minus(LOOKBACK)
             val end = timeOf(requestLines.last())
             val code = requestLines.last().number("code")
-            val isQuarantined = code == PROMPT_QUARANTINED || code == REQUEST_QUARANTINED
+            val isQuarantined = code in setOf(PROMPT_QUARANTINED, REQUEST_QUARANTINED)
             val related = lines.filter { line ->
                 val isGatewayStateChange = line.source in gateways && line.message in GATEWAY_STATE_CHANGES
                 val isReplicaEvent = line.requestId == null && line.fields["replica"] in replicas
