--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -42,7 +42,7 @@
     fun givenUp(attempt: Attempt, admitted: AdmittedRequest) {
         val now = MonotonicTime.now()
         val replica = attempt.choice.record.entry
-        quarantine.givenUp(
+        quarantine.givenUp.add(
             GivenUpAttempt(replica.incarnation, admitted.request.id, admitted.suspects, attempt.startedAt, now),
         )
         if (quarantine.crashesInARow(admitted.suspects) == 0) return
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GivenUpAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GivenUpAttempts.kt
@@ -41,7 +41,7 @@
     private companion object {
         const val MAX_ATTEMPTS = 512
 
-        /** Replicas notice a closed connection when they next write to it, after a long prompt at the latest. */
-        val TIME_TO_GO_ON = 5.seconds
+        /** A replica goes on until it next writes, and is listed with its next start some seconds after its end. */
+        val TIME_TO_GO_ON = 10.seconds
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.guavapath.core.fleet.ReplicaIncarnation
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.placement.ReplicaOutcome
 import org.guavapath.core.quarantine.CrashReport
@@ -26,9 +27,11 @@
     log: GatewayLog,
 ) {
     private val quarantine get() = fleet.quarantine
-    private val givenUp = GivenUpAttempts()
     private val holdLog = HoldLog(quarantine, log)
 
+    /** The attempts that this gateway has given up, which their replicas may still run. */
+    val givenUp = GivenUpAttempts()
+
     /** Informs the other gateways. */
     val exchange = CrashReportExchange(quarantine, peers)
 
@@ -77,8 +80,10 @@
     fun answered(suspects: Set<Suspect>, sentAt: MonotonicTime) =
         changed(quarantine.answered(suspects, sentAt, MonotonicTime.now()))
 
-    /** Records that this gateway gave up [attempt], which its replica may still run. */
-    fun givenUp(attempt: GivenUpAttempt) = givenUp.add(attempt)
+    /** Reports the attempts that were given up on [incarnation], which has ended although nothing was cut off. */
+    fun replicaLost(incarnation: ReplicaIncarnation) {
+        add(givenUp.reportsOf(incarnation, MonotonicTime.now()))
+    }
 
     /** Adds a report of this gateway; returns it as merged. */
     fun report(report: CrashReport): CrashReport {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaList.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaList.kt
@@ -27,6 +27,9 @@
 ) {
     private val leftAt = HashMap<ReplicaIncarnation, MonotonicTime>()
     private var listed = emptyMap<ReplicaId, Replica>()
+
+    /** Called with each incarnation that is not listed any more, or only its next one, though it did not drain. */
+    var onLost: (ReplicaIncarnation) -> Unit = {}
     private val decodeErrors = HashMap<String, String>()
 
     /** Applies the entries of [view]; returns after what time another update is due, null if no entry is held back. */
@@ -70,7 +73,9 @@
     private fun recordLeft(next: Map<ReplicaId, Replica>, now: MonotonicTime) {
         leftAt.values.removeIf { now - it > LEFT_RETENTION }
         listed.values.filter { next[it.id]?.incarnation != it.incarnation }
-            .forEach { leftAt.putIfAbsent(it.incarnation, now) }
+            .forEach {
+                if (leftAt.putIfAbsent(it.incarnation, now) == null && !it.isDraining) onLost(it.incarnation)
+            }
         next.values.forEach { leftAt.remove(it.incarnation) }
     }
 
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
@@ -127,7 +127,8 @@
         val givenUpAt = at + -givenUp.before
         val incarnation = ReplicaIncarnation(id, givenUp.startedAt)
         val request = RequestId("given-up-$number")
-        task.givenUp(GivenUpAttempt(incarnation, request, suspects, givenUpAt + -1.seconds, givenUpAt))
+        val attempt = GivenUpAttempt(incarnation, request, suspects, givenUpAt + -1.seconds, givenUpAt)
+        task.givenUp.add(attempt)
         val others = setOf<Suspect>(RequestKey(number.toLong()))
         task.report(CrashReport(ReplicaIncarnation(id, 1), RequestId("$number"), at, at, others))
     }
