Every send asks the quarantine right before the request goes out

Cause: the quarantine was asked, and a trial counted as sent, when the search for a replica began. After the waits for a permit, for the end of a pause and for a new connection the request went out unasked; `endIfQuarantined` ends only what waits with no event relayed, and only when further parts are held.

Change: the pool asks each request once whether it is still wanted, on new and on used connections alike, right before it is written; that is the one place that all sends pass, and there the quarantine is asked last and a trial is claimed. Each search for a replica, also one after a wait, asks first without a claim, so that held requests take no permit and are refused at once. A connection that is not used for that reason stays in the pool.

The wait for a permit was not run: its window is a few milliseconds, and it ends in the same send. Struck by reading: a stream that is resumed at once and a request whose retry waits for the end of its replica did ask.

The sample settings take the slack of the retry budget: with 1.0, two or more gateways of a test never retry what has reached a replica.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -7,6 +7,7 @@
 import org.guavapath.core.placement.ScoredReplica
 import org.guavapath.core.placement.WeightsSource
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.pipeline.Refusal
 import org.guavapath.platform.wire.ReplicaInstructions
 import org.guavapath.platform.wire.ReplicaResponseHead
 import org.guavapath.platform.wire.ResponseCodec
@@ -19,6 +20,9 @@
     /** No byte reached the replica. */
     class NotSent(val reason: String) : AttemptEvent()
 
+    /** The request was not sent, as replicas crash on requests like it. */
+    class Held(val refusal: Refusal) : AttemptEvent()
+
     /** The replica states that it did not run the request. */
     class NotRun(val head: ReplicaResponseHead) : AttemptEvent()
 
@@ -48,12 +52,15 @@
  * the response stalls for longer than a healthy replica mostly pauses; it goes on until it ends or is cancelled.
  *
  * @property part where the bytes of the response go
+ * @param holdNow returns how the request is refused if replicas crash on requests like it; asked once, right before the
+ *   request is sent
  */
 internal class Attempt(
     private val context: ExchangeContext,
     private val admitted: AdmittedRequest,
     val choice: ScoredReplica,
     val part: ResponsePart,
+    private val holdNow: () -> Refusal?,
     private val onEvent: (Attempt, AttemptEvent) -> Unit,
 ) : ReplicaResponseListener {
     private val record = choice.record
@@ -62,6 +69,7 @@
     private var call: PooledCall? = null
     private var hasEnded = false
     private var isKnownSilent = false
+    private var hold: Refusal? = null
 
     /** Notices when nothing arrives. */
     val silence = SilenceTimer(context.loop) {
@@ -99,7 +107,10 @@
         beginningTimer.start()
         val refusal = {
             val isLate = MonotonicTime.now() >= admitted.dueAt
-            if (isLate) "no time is left" else context.availability.refusal(record.entry)
+            val reason = if (isLate) "no time is left" else context.availability.refusal(record.entry)
+            // Asked last, as a trial then counts as sent.
+            if (reason == null) hold = holdNow()
+            reason ?: hold?.code?.label
         }
         val request = ReplicaRequest(
             record.entry,
@@ -129,7 +140,9 @@
     }
 
     override fun notSent(reason: String, isOwnDecision: Boolean) =
-        end(ReplicaOutcome.UNRESPONSIVE.takeIf { !isOwnDecision }) { onEvent(this, AttemptEvent.NotSent(reason)) }
+        end(ReplicaOutcome.UNRESPONSIVE.takeIf { !isOwnDecision }) {
+            onEvent(this, hold?.let { AttemptEvent.Held(it) } ?: AttemptEvent.NotSent(reason))
+        }
 
     override fun head(head: ReplicaResponseHead, headers: HttpHeaders) {
         if (hasEnded) return
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AttemptHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AttemptHandler.kt
@@ -22,6 +22,10 @@
         when (event) {
             is AttemptEvent.NotSent ->
                 retryOrFail(attempt, DispatchCode.NoEndpoint, event.reason, hasArrived = false)
+            is AttemptEvent.Held -> {
+                running.end(attempt, event.refusal.code.label)
+                fallBackOrFail(event.refusal)
+            }
             is AttemptEvent.NotRun -> {
                 misdirections.record(attempt, event.head)
                 retryOrFail(attempt, DispatchCode.EndpointsBusy, "refused with ${event.head.status}, not run")
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -58,10 +58,7 @@
     /** Sends the request, soon, to the best replica not yet tried that takes it, or refuses it. */
     fun sendNext() {
         val search = ++searches
-        ifStillWanted(search) {
-            val refusal = quarantine.beforeSend { isTrial = true }
-            if (refusal != null) onRefused(refusal) else sendToBest(search)
-        }
+        ifStillWanted(search) { sendToBest(search) }
     }
 
     /** Records that the response has advanced by [attempt]: the request is not sent anywhere else. */
@@ -91,6 +88,7 @@
     }
 
     private fun sendToBest(search: Int) {
+        quarantine.sinceSent()?.let { return onRefused(it) }
         val scope = context.cacheScope(admitted.workspace)
         val placementRequest = PlacementRequest(
             admitted.service.name,
@@ -181,7 +179,8 @@
         tried.add(result.chosen.record.entry.id)
         val namedRate = context.fleet.rates.rate(result.chosen.record.entry.incarnation)
         context.telemetry.log.dispatched(admitted, result, history.sends, namedRate, context.fleet.weights)
-        val attempt = Attempt(context, admitted, result.chosen, relay.newPart(), onEvent)
+        val holdNow = { quarantine.beforeSend { isTrial = true } }
+        val attempt = Attempt(context, admitted, result.chosen, relay.newPart(), holdNow, onEvent)
         // A response that has not begun can still be refused, and the two replicas would both read the prompt.
         running.sent(attempt, keepsSilent = relay.hasBegun)
         attempt.start(instructions.of(result.chosen, relay.resumeAfter))
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -72,7 +72,7 @@
     }
 
     /** Returns whether a request with [prompt] that was sent already would not be sent any more. */
-    fun isQuarantined(prompt: PromptShape): Boolean =
+    fun isQuarantined(prompt: PromptShape): Boolean = quarantine.reports.isNotEmpty() &&
         quarantine.verdict(PartKey.sharedPartsOf(prompt), MonotonicTime.now()) is QuarantineVerdict.Quarantined
 
     /** Records that [prompt] was answered completely. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Rehearsal.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Rehearsal.kt
@@ -88,11 +88,13 @@
  * @property vm name of its VM
  * @param seeds peer ports of the seed gateways; null for this gateway alone
  * @property isFirstStart whether the whole fleet starts for the first time
+ * @property repeatSlack retries of the whole fleet in each window, whatever the number of requests
  */
 internal class SampleSettings(
     private val vm: String,
     seeds: List<Int>? = null,
     private val isFirstStart: Boolean = false,
+    private val repeatSlack: Double = 1.0,
 ) {
     val callers = freePort()
     val readiness = freePort()
@@ -105,7 +107,8 @@
         {"vm": "$vm", "failureDomain": "domain", "callers": "$LOOPBACK:$callers",
          "readiness": "$LOOPBACK:$readiness", "peers": "$LOOPBACK:$peers", "store": "$LOOPBACK:$CLOSED_PORT",
          "peerSeeds": [${seeds.joinToString { "\"$LOOPBACK:$it\"" }}], "peerSecrets": ["a secret of the samples"],
-         "isFirstStart": $isFirstStart, "drainMilliseconds": 1000, "repeatRatio": 1.0, "repeatWindowSeconds": 1, "repeatSlack": 1.0}
+         "isFirstStart": $isFirstStart, "drainMilliseconds": 1000, "repeatRatio": 1.0, "repeatWindowSeconds": 1,
+         "repeatSlack": $repeatSlack}
         """,
     ).getOrElse { error("the sample settings are invalid: $it") }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
@@ -103,12 +103,7 @@
             is ConnectionChoice.Pooled -> takeIdle(pooled, request.id, choice.maxIdle)
         }
         when {
-            idle != null -> {
-                call.attach(idle)
-                val sentAt = MonotonicTime.now()
-                call.onSilent = { pooled.silence.foundSilent(sentAt) }
-                idle.send(request.http, request.id, listener)
-            }
+            idle != null -> sendOn(idle, pooled, request, listener, call)
             pooled.open >= request.maxConnections -> loop.execute {
                 request.http.release()
                 if (!call.isCancelled) listener.notSent("all ${pooled.open} connections to the replica are in use")
@@ -118,6 +113,29 @@
         return call
     }
 
+    /** Sends [request] on the used connection [idle] unless it is not wanted any more. */
+    private fun sendOn(
+        idle: ReplicaConnection,
+        pooled: ConnectionSet,
+        request: ReplicaRequest,
+        listener: ReplicaResponseListener,
+        call: PooledCall,
+    ) {
+        val refusal = request.refusal()
+        if (refusal != null) {
+            pooled.idle.addLast(idle)
+            loop.execute {
+                request.http.release()
+                if (!call.isCancelled) listener.notSent(refusal, isOwnDecision = true)
+            }
+            return
+        }
+        call.attach(idle)
+        val sentAt = MonotonicTime.now()
+        call.onSilent = { pooled.silence.foundSilent(sentAt) }
+        idle.send(request.http, request.id, listener)
+    }
+
     /** Opens a connection to [replica] that carries no request and is not pooled; the caller closes it. */
     fun connectForProbe(replica: Replica): ChannelFuture {
         val address = SocketAddress.of(replica.address)
@@ -195,11 +213,9 @@
         listener: ReplicaResponseListener,
         call: PooledCall,
     ) {
-        val refusal = request.refusal()
-        val isOpen = connection.isIdle
-        if (call.attach(connection) && refusal == null && isOpen) {
-            return connection.send(request.http, request.id, listener)
-        }
+        val canBeSent = call.attach(connection) && connection.isIdle
+        val refusal = if (canBeSent) request.refusal() else null
+        if (canBeSent && refusal == null) return connection.send(request.http, request.id, listener)
         request.http.release()
         connection.close()
         if (call.isCancelled) return
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaRequest.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaRequest.kt
@@ -32,8 +32,8 @@
  * @property id the request id that the response must name, null for the gateway's own calls
  * @property connection which connections may carry it
  * @property maxConnections limit of connections that this VM opens to the replica
- * @property refusal returns why the request should not be sent any more, null if it should; asked when a new connection
- *   is open
+ * @property refusal returns why the request should not be sent any more, null if it should; asked once, right before it
+ *   is sent
  */
 internal class ReplicaRequest(
     val replica: Replica,
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/OutspokenFleet.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/OutspokenFleet.kt
@@ -12,11 +12,21 @@
 
 private const val LOOPBACK = "127.0.0.1"
 
-/** Linked gateways with outspoken [replicas]; the store is in memory. */
-internal class OutspokenFleet(gateways: Int, replicas: Int) : AutoCloseable {
+/**
+ * Linked gateways with outspoken [replicas]; the store is in memory.
+ *
+ * @param repeatSlack retries of all gateways in each second, whatever the number of requests
+ * @param prepare writes to the store before the gateways start
+ */
+internal class OutspokenFleet(
+    gateways: Int,
+    replicas: Int,
+    repeatSlack: Double = 1.0,
+    prepare: (MemoryStore) -> Unit = {},
+) : AutoCloseable {
     private val sample = SampleFleet("$LOOPBACK:1")
-    private val store = MemoryStore(sample)
-    private val settings = linkedSettings(gateways)
+    private val store = MemoryStore(sample).also(prepare)
+    private val settings = linkedSettings(gateways, repeatSlack)
     private val running = settings.map { Gateway(it.read(), CountingStore(store)) }
     private val callers = SampleCallers()
     val replicas = List(replicas) { OutspokenReplica("replica-$it") }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaPoolTest.kt
@@ -16,6 +16,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 import kotlin.test.AfterTest
@@ -94,11 +95,16 @@
 
     private fun call(connection: ConnectionChoice) = send(id = null, connection)
 
-    private fun send(id: RequestId?, connection: ConnectionChoice, body: ByteArray? = null): RecordingListener {
+    private fun send(
+        id: RequestId?,
+        connection: ConnectionChoice,
+        body: ByteArray? = null,
+        refusal: () -> String? = { null },
+    ): RecordingListener {
         val listener = RecordingListener()
         val (name, value) = SampleFleet.attemptIdHeader(id?.text ?: CALL)
         val http = ReplicaRequests.call(HttpMethod.POST, "/", DefaultHttpHeaders().set(name, value), body)
-        val request = ReplicaRequest(replica, http, id, connection, MAX_CONNECTIONS)
+        val request = ReplicaRequest(replica, http, id, connection, MAX_CONNECTIONS, refusal)
         loop.execute { pool.send(request, listener) }
         return listener
     }
@@ -191,6 +197,33 @@
         assertEquals(emptyList(), results.filter { it !in setOf("not sent", "broken") })
     }
 
+    /** Guards against sending what is not wanted any more, and against asking for a request that is not sent. */
+    @Test
+    fun asksOnceBeforeEachSendWhetherTheRequestIsStillWanted() {
+        val received = CopyOnWriteArrayList<String>()
+        serve { id -> response(id).also { received += id } }
+        val pooled = ConnectionChoice.Pooled(5.seconds)
+        val asked = CopyOnWriteArrayList<String>()
+        fun sendIf(id: String, isWanted: Boolean) = send(RequestId(id), pooled) {
+            asked += id
+            "unwanted".takeIf { !isWanted }
+        }.await()
+        val cases = listOf(
+            Triple("a new connection, not wanted", { sendIf("a", isWanted = false) }, "not sent"),
+            Triple("a new connection", { sendIf("b", isWanted = true) }, "b"),
+            Triple("a used connection, not wanted", { sendIf("c", isWanted = false) }, "not sent"),
+            Triple("a used connection", { sendIf("d", isWanted = true) }, "d"),
+        )
+        cases.forEach { (name, send, expected) -> assertEquals(expected, send(), name) }
+        assertEquals(listOf("a", "b", "c", "d"), asked)
+        assertEquals(listOf("b", "d"), received)
+        assertEquals(2, pool.opened, "the connection is used again after a request that was not wanted")
+        server.close()
+        loop.submit { pool.drop(replica.id) }.get(5, TimeUnit.SECONDS)
+        assertEquals("not sent", sendIf("e", isWanted = true))
+        assertEquals(false, "e" in asked, "asked without a connection")
+    }
+
     private companion object {
         const val RESETS = 40
         const val CONNECTIONS_RESET = 400
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/SampleCallers.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/SampleCallers.kt
@@ -47,10 +47,11 @@
     }
 }
 
-/** Returns the settings of [count] gateways, all linked with the first. */
-internal fun linkedSettings(count: Int): List<SampleSettings> {
-    val first = SampleSettings(vm = "vm-0")
-    return listOf(first) + (1 until count).map { SampleSettings(vm = "vm-$it", seeds = listOf(first.peers)) }
+/** Returns the settings of [count] gateways, all linked with the first, which have [repeatSlack] together. */
+internal fun linkedSettings(count: Int, repeatSlack: Double = 1.0): List<SampleSettings> {
+    val first = SampleSettings(vm = "vm-0", repeatSlack = repeatSlack)
+    val seeds = listOf(first.peers)
+    return listOf(first) + (1 until count).map { SampleSettings("vm-$it", seeds, repeatSlack = repeatSlack) }
 }
 
 /** Waits until [isTrue], which [name] names. */
