A replica that starts again at once under a new identity, or is listed late, has crashed

Cause: beside a refused connection only a later start of the same identity counted, and only within the second for which connections are tried. The next replica may have another identity, so that the former one is never listed again, and the list may be 5 s late.

Change: the list is looked at for 10 s, each 100 ms. A replica has also ended if another one has come to its address or it is no longer listed as it was. That says nothing of a replica that drains or has said that it leaves, of a former occupant of the address whose entry is left, or of one whose connections time out, whose entry expires as it is cut off. No more connections are tried than before. A refused connection counts for requests that were cut off within the second before; those that it had outlived by then are none of its crash. Requests that this gateway gives up are watched for a second, as before.

Evidence: of the 15 rows of `ReplicaProbesTest.theListShows...` the 6 in which the replica has ended failed before: another one at its address 2 s and 5 s later, and one without a start; its next start 5 s late; no entry, another address. All pass, with at most 8 connections in each.

--- a/core/src/main/kotlin/org/guavapath/core/placement/ReplicaRegistry.kt
+++ b/core/src/main/kotlin/org/guavapath/core/placement/ReplicaRegistry.kt
@@ -130,6 +130,7 @@
 public class ReplicaRegistry {
     private val records = HashMap<ReplicaId, ReplicaRecord>()
     private var byService = emptyMap<ServiceName, List<ReplicaRecord>>()
+    private var byAddress = emptyMap<String, List<ReplicaRecord>>()
 
     /** The replicas that have said that they leave. */
     public val leaving: LeavingReplicas = LeavingReplicas()
@@ -159,6 +160,7 @@
             }
         }
         byService = records.values.groupBy { it.entry.service }
+        byAddress = records.values.groupBy { it.entry.address }
         return lost
     }
 
@@ -185,4 +187,7 @@
 
     /** Returns the replicas of [service]. */
     public fun of(service: ServiceName): List<ReplicaRecord> = byService[service].orEmpty()
+
+    /** Returns the replicas that are listed at [address]: more than one while the entry of a former one is left. */
+    public fun at(address: String): List<ReplicaRecord> = byAddress[address].orEmpty()
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -38,7 +38,7 @@
         if (!isSuspect) return
         val replica = attempt.choice.record.entry
         val onEnded = { recordCrash(attempt, admitted, MonotonicTime.now()) }
-        probes.examine(replica, onEnded, onSettled = {})
+        probes.watch(replica, onEnded)
     }
 
     private fun recordCrash(attempt: Attempt, admitted: AdmittedRequest, at: MonotonicTime) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaProbes.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaProbes.kt
@@ -19,8 +19,9 @@
  *
  * An accepted connection does not show that a replica lives: a listening socket that is closed while a thread waits for
  * connections accepts them until that thread runs again, and may even hand one over. Further connections are therefore
- * tried for a while. A replica that refuses one has ended, and so has one whose next incarnation is listed. One whose
- * connections only time out may be alive.
+ * tried for a while. A replica that refuses one has ended. One whose connections only time out may be alive.
+ *
+ * Where the next replica starts at the same address at once, all connections are accepted, and only the list shows it.
  */
 internal class ReplicaProbes(
     private val loop: EventLoop,
@@ -32,7 +33,7 @@
     /**
      * Examines [replica], one of whose connections has closed.
      *
-     * @param onEnded called if the replica has ended, at the latest [WATCH_TIME] later
+     * @param onEnded called if the replica has ended, at the latest [LISTING_TIME] later
      * @param onSettled called once: after [onEnded], or when the replica has lived on for [settlingTime]
      */
     fun examine(
@@ -40,13 +41,22 @@
         onEnded: () -> Unit,
         onSettled: () -> Unit,
         settlingTime: Duration = SETTLING_TIME,
-    ) {
-        val probe = probes.getOrPut(replica.incarnation) { Probe(replica) }
-        probe.add(Inquiry(onEnded, onSettled, settlingTime))
-    }
+    ) = probeOf(replica).add(Inquiry(onEnded, onSettled, settlingTime, LISTING_TIME))
+
+    /** Watches [replica], whose connection was closed here, and calls [onEnded] if it ends within [WATCH_TIME]. */
+    fun watch(replica: Replica, onEnded: () -> Unit) =
+        probeOf(replica).add(Inquiry(onEnded, onSettled = {}, SETTLING_TIME, WATCH_TIME))
+
+    private fun probeOf(replica: Replica) = probes.getOrPut(replica.incarnation) { Probe(replica) }
 
-    private class Inquiry(val onEnded: () -> Unit, private val onSettled: () -> Unit, val settlingTime: Duration) {
+    private class Inquiry(
+        val onEnded: () -> Unit,
+        private val onSettled: () -> Unit,
+        val settlingTime: Duration,
+        val duration: Duration,
+    ) {
         private var isSettled = false
+        val startedAt = MonotonicTime.now()
 
         fun settle() {
             if (isSettled) return
@@ -58,28 +68,36 @@
     /** The examination of one incarnation for all requests that it has cut off. */
     private inner class Probe(private val replica: Replica) {
         private val inquiries = ArrayList<Inquiry>()
-        private var watchUntil = MonotonicTime.ZERO
+        private val list = ListedEnd(replica, listed)
+        private var connectUntil = MonotonicTime.ZERO
         private var connectedAt: MonotonicTime? = null
+        private var wasAccepted = false
         private var series = 0
 
+        init {
+            after(LIST_INTERVAL) { watchList() }
+        }
+
         fun add(inquiry: Inquiry) {
             val now = MonotonicTime.now()
             inquiries += inquiry
-            watchUntil = now + WATCH_TIME
+            connectUntil = now + WATCH_TIME
             after(inquiry.settlingTime) { inquiry.settle() }
-            after(WATCH_TIME) { endIfOver() }
+            after(inquiry.duration) { outlived(listOf(inquiry)) }
             if (connectedAt.let { it == null || now - it > FIRST_PAUSE }) connect(++series, FIRST_PAUSE)
         }
 
         /** Tries a connection, and further ones after [pause] unless another series has begun. */
         private fun connect(number: Int, pause: Duration) {
-            if (isOver || number != series) return
-            if (isReplaced) return end(hasEnded = true)
-            connectedAt = MonotonicTime.now()
+            val now = MonotonicTime.now()
+            if (isOver || number != series || now >= connectUntil) return
+            if (list.showsEnd(wasAccepted)) return ended(inquiries)
+            connectedAt = now
             pool.connectForProbe(replica).addListener(
                 ChannelFutureListener { attempt ->
                     attempt.channel().close()
-                    if (isRefused(attempt)) end(hasEnded = true) else after(pause) { connect(number, pause * 2) }
+                    wasAccepted = attempt.isSuccess
+                    if (isRefused(attempt)) refused() else after(pause) { connect(number, pause * 2) }
                 },
             )
         }
@@ -87,19 +105,33 @@
         private fun isRefused(attempt: ChannelFuture) =
             attempt.cause().let { it is ConnectException && it !is ConnectTimeoutException }
 
-        private fun endIfOver() {
-            if (MonotonicTime.now() >= watchUntil) end(hasEnded = isReplaced)
+        /** The replica has ended, but after the requests that it has outlived. */
+        private fun refused() {
+            val now = MonotonicTime.now()
+            val (earlier, current) = inquiries.partition { now - it.startedAt > WATCH_TIME }
+            outlived(earlier)
+            ended(current)
+        }
+
+        private fun watchList() {
+            if (isOver) return
+            if (list.showsEnd(wasAccepted)) ended(inquiries) else after(LIST_INTERVAL) { watchList() }
         }
 
-        private fun end(hasEnded: Boolean) {
+        private fun ended(cutOff: List<Inquiry>) {
             if (isOver) return
             probes.remove(replica.incarnation)
-            if (hasEnded) inquiries.forEach { it.onEnded() }
-            inquiries.forEach { it.settle() }
+            cutOff.forEach { it.onEnded() }
+            cutOff.forEach { it.settle() }
+        }
+
+        private fun outlived(those: List<Inquiry>) {
+            if (isOver || !inquiries.removeAll(those)) return
+            if (inquiries.isEmpty()) probes.remove(replica.incarnation)
+            those.forEach { it.settle() }
         }
 
         private val isOver get() = probes[replica.incarnation] !== this
-        private val isReplaced get() = listed[replica.id]?.let { it.entry.startedAt > replica.startedAt } ?: false
 
         private fun after(delay: Duration, task: () -> Unit) {
             loop.schedule(task, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
@@ -113,6 +145,11 @@
         /** An end that shows after the request was sent again still matters to repeats of it. */
         val WATCH_TIME = 1.seconds
 
+        /** The entry of a replica that has ended expires within 5 s, and the list may be as late. */
+        val LISTING_TIME = 10.seconds
+
+        private val LIST_INTERVAL = 100.milliseconds
+
         /** Doubled with each connection. */
         private val FIRST_PAUSE = 10.milliseconds
     }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaProbesTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaProbesTest.kt
@@ -8,16 +8,21 @@
 import org.guavapath.core.fleet.ServiceName
 import org.guavapath.core.identity.FailureDomainName
 import org.guavapath.core.placement.ReplicaRegistry
+import org.guavapath.core.time.MonotonicTime
+import org.junit.jupiter.api.assertAll
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class ReplicaProbesTest {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -41,27 +46,54 @@
         val change: ReplicaProbesTest.(Trial) -> Unit,
     )
 
+    /** A [change] that the list shows after the connection has closed; the address goes on accepting connections. */
+    private class ListCase(
+        val name: String,
+        val hasEnded: Boolean,
+        val after: Duration,
+        val before: (Trial) -> Unit = {},
+        val change: (Trial) -> Unit,
+    )
+
     /** A replica that listens and is listed, and what is found out of it for each inquiry. */
-    private inner class Trial(val case: Case) : AutoCloseable {
+    private inner class Trial(inquiries: Int = 1) : AutoCloseable {
         val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
-        private val replica = replicaAt(server.localPort)
+        val replica = replicaAt(server.localPort)
+        val successor = replica.copy(id = ReplicaId("successor"), startedAt = replica.startedAt + 1)
+        private val pool = ReplicaPool(loop)
         private val listed = ReplicaRegistry()
-        private val probes = ReplicaProbes(loop, ReplicaPool(loop), listed)
-        val results = List(case.inquiries) { CopyOnWriteArrayList<String>() }
+        private val probes = ReplicaProbes(loop, pool, listed)
+        private val blocking = ArrayList<Socket>()
+        val results = List(inquiries) { CopyOnWriteArrayList<String>() }
 
-        fun start() {
-            list(replica)
-            case.change(this@ReplicaProbesTest, this)
-            results.forEach { loop.submit { probes.examine(replica, { it += ENDED }, { it += SETTLED }) }.get() }
+        /** Connections that were tried. */
+        val connections: Long get() = pool.opened
+
+        fun examine() = results.forEach {
+            loop.submit { probes.examine(replica, { it += ENDED }, { it += SETTLED }) }.get()
         }
 
         fun listNextIncarnation() = list(replica.copy(startedAt = replica.startedAt + 1))
 
-        private fun list(entry: Replica) {
-            loop.submit { listed.update(listOf(entry)) }.get()
+        fun list(vararg entries: Replica) {
+            loop.submit { listed.update(entries.toList()) }.get()
+        }
+
+        /** Records that the replica has said that it leaves. */
+        fun leaves() {
+            loop.submit { listed.leaving.record(replica.incarnation, MonotonicTime.now()) }.get()
         }
 
-        override fun close() = server.close()
+        /** Fills the queue of connections, so that further ones time out. */
+        fun block() = repeat(2 * BACKLOG) {
+            val socket = Socket().also { blocking += it }
+            runCatching { socket.connect(server.localSocketAddress, 1) }
+        }
+
+        override fun close() {
+            server.close()
+            blocking.forEach { it.close() }
+        }
     }
 
     private val cases = listOf(
@@ -105,18 +137,115 @@
     /** Guards against taking a replica that ends for alive, as it accepts connections a moment longer. */
     @Test
     fun anAcceptedConnectionDoesNotShowThatAReplicaLives() {
-        val trials = cases.map { Trial(it) }
-        trials.forEach { it.start() }
+        val trials = cases.associateWith { Trial(it.inquiries) }
+        trials.forEach { (case, trial) ->
+            trial.list(trial.replica)
+            case.change(this, trial)
+            trial.examine()
+        }
         Thread.sleep(TIME_TO_DECIDE.inWholeMilliseconds)
-        trials.forEach { trial ->
-            val expected = if (trial.case.hasEnded) listOf(ENDED, SETTLED) else listOf(SETTLED)
-            trial.results.forEach { assertEquals(expected, it.sorted(), "${trial.case.name}: $it") }
+        trials.forEach { (case, trial) ->
+            val expected = if (case.hasEnded) listOf(ENDED, SETTLED) else listOf(SETTLED)
+            trial.results.forEach { assertEquals(expected, it.sorted(), "${case.name}: $it") }
             trial.close()
         }
     }
 
+    private val listCases = listOf(
+        ListCase("another replica at its address", hasEnded = true, after = 2.seconds) {
+            it.list(it.replica, it.successor)
+        },
+        ListCase("another replica at its address, 5 s late", hasEnded = true, after = 5.seconds) {
+            it.list(it.successor)
+        },
+        ListCase("another replica without a start at its address", hasEnded = true, after = 2.seconds) {
+            it.list(it.replica, it.successor.copy(startedAt = 0))
+        },
+        ListCase("its next incarnation, 5 s late", hasEnded = true, after = 5.seconds) { it.listNextIncarnation() },
+        ListCase("nothing any more", hasEnded = true, after = 3.seconds) { it.list() },
+        ListCase("another address", hasEnded = true, after = 3.seconds) {
+            it.list(it.replica.copy(address = "127.0.0.1:1"))
+        },
+        ListCase("what it did", hasEnded = false, after = 2.seconds) { it.list(it.replica) },
+        ListCase("another replica at another address", hasEnded = false, after = 2.seconds) {
+            it.list(it.replica, it.successor.copy(address = "127.0.0.1:1"))
+        },
+        ListCase(
+            "a replica that was at its address before",
+            hasEnded = false,
+            after = 2.seconds,
+            before = { it.list(it.replica, it.successor.copy(startedAt = 0)) },
+            change = { it.list(it.replica, it.successor.copy(startedAt = 0)) },
+        ),
+        ListCase("nothing, as before", hasEnded = false, after = 1.seconds, before = { it.list() }) { it.list() },
+        ListCase("that it drains, and then nothing", hasEnded = false, after = 1.seconds) { trial ->
+            trial.list(trial.replica.copy(isDraining = true))
+            Thread.sleep(1_000)
+            trial.list()
+        },
+        ListCase(
+            "nothing after it has said that it leaves",
+            hasEnded = false,
+            after = 2.seconds,
+            before = { it.leaves() },
+            change = { it.list() },
+        ),
+        ListCase(
+            "its next incarnation after it has said that it leaves",
+            hasEnded = false,
+            after = 2.seconds,
+            before = { it.leaves() },
+            change = { it.listNextIncarnation() },
+        ),
+        ListCase(
+            "another replica at its address after it has said that it leaves",
+            hasEnded = false,
+            after = 2.seconds,
+            before = { it.leaves() },
+            change = { it.list(it.successor) },
+        ),
+        ListCase(
+            "nothing, as it is cut off from all",
+            hasEnded = false,
+            after = 2.seconds,
+            before = { it.block() },
+            change = { it.list() },
+        ),
+    )
+
+    /** Guards against missing a crash that only the list shows, as the next replica at the address accepts at once. */
+    @Test
+    fun theListShowsThatAReplicaHasEndedWhichStartsAgainAtOnce() {
+        val trials = listCases.associateWith { Trial() }
+        val changes = trials.map { (case, trial) ->
+            trial.list(trial.replica)
+            case.before(trial)
+            trial.examine()
+            thread {
+                Thread.sleep(case.after.inWholeMilliseconds)
+                case.change(trial)
+            }
+        }
+        changes.forEach { it.join() }
+        Thread.sleep(TIME_TO_DECIDE.inWholeMilliseconds)
+        assertAll(
+            trials.map { (case, trial) ->
+                val expected = if (case.hasEnded) listOf(ENDED, SETTLED) else listOf(SETTLED)
+                val check = {
+                    trial.results.forEach { assertEquals(expected, it.sorted(), case.name) }
+                    assertTrue(trial.connections <= MAX_CONNECTIONS, "${case.name}: ${trial.connections} connections")
+                }
+                check
+            },
+        )
+        trials.values.forEach { it.close() }
+    }
+
     private companion object {
         const val BACKLOG = 100
+
+        /** One each 10 ms, 20 ms and so on within the second for which a replica is watched. */
+        const val MAX_CONNECTIONS = 8
         const val ENDED = "ended"
         const val SETTLED = "settled"
 
