A line where no crash is found behind an attempt that was cut off

Evidence: the rows of `ReplicaProbesTest.theListShows...` without a crash now state what was seen, each exactly once, and the others that nothing was said.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -25,7 +25,9 @@
         val cutOff = CutOffAttempt(attempt, now, othersRunning = record.ownLoad.requests)
         val isNearlyHeld = requests.crashesInARow(admitted.key) == RequestQuarantine.SUFFICIENT_DEPTH - 1
         val settlingTime = if (isNearlyHeld) ReplicaProbes.WATCH_TIME else ReplicaProbes.SETTLING_TIME
-        probes.examine(record.entry, onEnded = { report(cutOff, admitted) }, onSettled = then, settlingTime)
+        probes.examine(record.entry, onEnded = { report(cutOff, admitted) }, onSettled = then, settlingTime) {
+            telemetry.outlived(admitted, cutOff, it)
+        }
     }
 
     /**
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -177,6 +177,24 @@
         metrics.cutOff(cutOff.attempt.progress)
     }
 
+    /** Records that no crash was found behind an attempt that was cut off. The line may follow the request's end. */
+    fun outlived(admitted: AdmittedRequest, cutOff: CutOffAttempt, survival: Survival) {
+        val attempt = cutOff.attempt
+        val replica = attempt.choice.record.entry
+        log.stateChange(
+            "replica outlived cut-off attempt",
+            "requestId" to admitted.request.id.text,
+            "replica" to replica.id.text,
+            "incarnation" to replica.startedAt,
+            "afterMs" to (cutOff.at - attempt.startedAt).inWholeMilliseconds,
+            "sinceCutOffMs" to (MonotonicTime.now() - cutOff.at).inWholeMilliseconds,
+            "connections" to survival.connections,
+            "isAccepting" to survival.isAccepting,
+            "isListed" to survival.isListed,
+            "isLeaving" to survival.isLeaving,
+        )
+    }
+
     /** Records a response of [replica] that belongs to another request than the pending one, or to none. */
     fun stray(replica: ReplicaId, stray: StrayResponse) {
         log.stateChange(
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ListedEnd.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ListedEnd.kt
@@ -11,7 +11,10 @@
 internal class ListedEnd(private val replica: Replica, private val listed: ReplicaRegistry) {
     private val wasListed = isListed
     private val formerNeighbours = neighbours.map { it.id }.toSet()
-    private var isLeaving = replica.isDraining
+
+    /** Whether the replica leaves in order, as far as was looked at. */
+    var isLeaving = replica.isDraining
+        private set
 
     /**
      * Returns whether the list shows that the replica has ended without leaving.
@@ -31,7 +34,8 @@
     private val isSucceeded
         get() = neighbours.any { it.startedAt > replica.startedAt || it.id !in formerNeighbours }
 
-    private val isListed
+    /** Whether the replica is listed as it was. */
+    val isListed: Boolean
         get() = listed.at(replica.address).any { it.entry.incarnation == replica.incarnation }
 
     private val neighbours
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaProbes.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaProbes.kt
@@ -14,6 +14,21 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/**
+ * What an examination saw of a replica that does not seem to have ended.
+ *
+ * @property connections connections that were tried
+ * @property isAccepting whether the last one was accepted; it timed out otherwise
+ * @property isListed whether it is listed as it was
+ * @property isLeaving whether it leaves in order, so that the list says nothing
+ */
+internal class Survival(
+    val connections: Int,
+    val isAccepting: Boolean,
+    val isListed: Boolean,
+    val isLeaving: Boolean,
+)
+
 /**
  * Finds out whether replicas whose connections have closed have ended; confined to one event loop.
  *
@@ -35,23 +50,26 @@
      *
      * @param onEnded called if the replica has ended, at the latest [LISTING_TIME] later
      * @param onSettled called once: after [onEnded], or when the replica has lived on for [settlingTime]
+     * @param onOutlived called in place of [onEnded] if no end has shown by then
      */
     fun examine(
         replica: Replica,
         onEnded: () -> Unit,
         onSettled: () -> Unit,
         settlingTime: Duration = SETTLING_TIME,
-    ) = probeOf(replica).add(Inquiry(onEnded, onSettled, settlingTime, LISTING_TIME))
+        onOutlived: (Survival) -> Unit = {},
+    ) = probeOf(replica).add(Inquiry(onEnded, onSettled, onOutlived, settlingTime, LISTING_TIME))
 
     /** Watches [replica], whose connection was closed here, and calls [onEnded] if it ends within [WATCH_TIME]. */
     fun watch(replica: Replica, onEnded: () -> Unit) =
-        probeOf(replica).add(Inquiry(onEnded, onSettled = {}, SETTLING_TIME, WATCH_TIME))
+        probeOf(replica).add(Inquiry(onEnded, onSettled = {}, onOutlived = {}, SETTLING_TIME, WATCH_TIME))
 
     private fun probeOf(replica: Replica) = probes.getOrPut(replica.incarnation) { Probe(replica) }
 
     private class Inquiry(
         val onEnded: () -> Unit,
         private val onSettled: () -> Unit,
+        val onOutlived: (Survival) -> Unit,
         val settlingTime: Duration,
         val duration: Duration,
     ) {
@@ -73,6 +91,7 @@
         private var connectedAt: MonotonicTime? = null
         private var wasAccepted = false
         private var series = 0
+        private var connections = 0
 
         init {
             after(LIST_INTERVAL) { watchList() }
@@ -93,6 +112,7 @@
             if (isOver || number != series || now >= connectUntil) return
             if (list.showsEnd(wasAccepted)) return ended(inquiries)
             connectedAt = now
+            connections += 1
             pool.connectForProbe(replica).addListener(
                 ChannelFutureListener { attempt ->
                     attempt.channel().close()
@@ -128,7 +148,11 @@
         private fun outlived(those: List<Inquiry>) {
             if (isOver || !inquiries.removeAll(those)) return
             if (inquiries.isEmpty()) probes.remove(replica.incarnation)
-            those.forEach { it.settle() }
+            val survival = Survival(connections, wasAccepted, list.isListed, list.isLeaving)
+            those.forEach {
+                it.settle()
+                it.onOutlived(survival)
+            }
         }
 
         private val isOver get() = probes[replica.incarnation] !== this
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaProbesTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaProbesTest.kt
@@ -46,10 +46,14 @@
         val change: ReplicaProbesTest.(Trial) -> Unit,
     )
 
-    /** A [change] that the list shows after the connection has closed; the address goes on accepting connections. */
+    /**
+     * A [change] that the list shows after the connection has closed; the address goes on accepting connections.
+     *
+     * @property outlived whether the last connection was accepted, the replica is listed, and leaves; null if it ended
+     */
     private class ListCase(
         val name: String,
-        val hasEnded: Boolean,
+        val outlived: String?,
         val after: Duration,
         val before: (Trial) -> Unit = {},
         val change: (Trial) -> Unit,
@@ -66,11 +70,20 @@
         private val blocking = ArrayList<Socket>()
         val results = List(inquiries) { CopyOnWriteArrayList<String>() }
 
+        /** Connections that were tried, as is told at the end of an examination. */
+        @Volatile
+        var tried = 0
+
         /** Connections that were tried. */
         val connections: Long get() = pool.opened
 
         fun examine() = results.forEach {
-            loop.submit { probes.examine(replica, { it += ENDED }, { it += SETTLED }) }.get()
+            loop.submit {
+                probes.examine(replica, { it += ENDED }, { it += SETTLED }) { survival ->
+                    it += "$OUTLIVED ${survival.isAccepting} ${survival.isListed} ${survival.isLeaving}"
+                    tried = survival.connections
+                }
+            }.get()
         }
 
         fun listNextIncarnation() = list(replica.copy(startedAt = replica.startedAt + 1))
@@ -152,61 +165,67 @@
     }
 
     private val listCases = listOf(
-        ListCase("another replica at its address", hasEnded = true, after = 2.seconds) {
+        ListCase("another replica at its address", outlived = null, after = 2.seconds) {
             it.list(it.replica, it.successor)
         },
-        ListCase("another replica at its address, 5 s late", hasEnded = true, after = 5.seconds) {
+        ListCase("another replica at its address, 5 s late", outlived = null, after = 5.seconds) {
             it.list(it.successor)
         },
-        ListCase("another replica without a start at its address", hasEnded = true, after = 2.seconds) {
+        ListCase("another replica without a start at its address", outlived = null, after = 2.seconds) {
             it.list(it.replica, it.successor.copy(startedAt = 0))
         },
-        ListCase("its next incarnation, 5 s late", hasEnded = true, after = 5.seconds) { it.listNextIncarnation() },
-        ListCase("nothing any more", hasEnded = true, after = 3.seconds) { it.list() },
-        ListCase("another address", hasEnded = true, after = 3.seconds) {
+        ListCase("its next incarnation, 5 s late", outlived = null, after = 5.seconds) { it.listNextIncarnation() },
+        ListCase("nothing any more", outlived = null, after = 3.seconds) { it.list() },
+        ListCase("another address", outlived = null, after = 3.seconds) {
             it.list(it.replica.copy(address = "127.0.0.1:1"))
         },
-        ListCase("what it did", hasEnded = false, after = 2.seconds) { it.list(it.replica) },
-        ListCase("another replica at another address", hasEnded = false, after = 2.seconds) {
+        ListCase("what it did", outlived = "true true false", after = 2.seconds) { it.list(it.replica) },
+        ListCase("another replica at another address", outlived = "true true false", after = 2.seconds) {
             it.list(it.replica, it.successor.copy(address = "127.0.0.1:1"))
         },
         ListCase(
             "a replica that was at its address before",
-            hasEnded = false,
+            outlived = "true true false",
             after = 2.seconds,
             before = { it.list(it.replica, it.successor.copy(startedAt = 0)) },
             change = { it.list(it.replica, it.successor.copy(startedAt = 0)) },
         ),
-        ListCase("nothing, as before", hasEnded = false, after = 1.seconds, before = { it.list() }) { it.list() },
-        ListCase("that it drains, and then nothing", hasEnded = false, after = 1.seconds) { trial ->
+        ListCase(
+            "nothing, as before",
+            outlived = "true false false",
+            after = 1.seconds,
+            before = { it.list() },
+            change = { it.list() },
+        ),
+        ListCase("that it drains, and then nothing", outlived = "true false true", after = 1.seconds) { trial ->
             trial.list(trial.replica.copy(isDraining = true))
             Thread.sleep(1_000)
             trial.list()
         },
         ListCase(
             "nothing after it has said that it leaves",
-            hasEnded = false,
+            outlived = "true false true",
             after = 2.seconds,
             before = { it.leaves() },
             change = { it.list() },
         ),
         ListCase(
             "its next incarnation after it has said that it leaves",
-            hasEnded = false,
+            outlived = "true false true",
             after = 2.seconds,
             before = { it.leaves() },
             change = { it.listNextIncarnation() },
         ),
         ListCase(
             "another replica at its address after it has said that it leaves",
-            hasEnded = false,
+            outlived = "true false true",
             after = 2.seconds,
             before = { it.leaves() },
             change = { it.list(it.successor) },
         ),
         ListCase(
             "nothing, as it is cut off from all",
-            hasEnded = false,
+            outlived = "false false false",
             after = 2.seconds,
             before = { it.block() },
             change = { it.list() },
@@ -227,12 +246,13 @@
             }
         }
         changes.forEach { it.join() }
-        Thread.sleep(TIME_TO_DECIDE.inWholeMilliseconds)
+        Thread.sleep(ReplicaProbes.LISTING_TIME.inWholeMilliseconds)
         assertAll(
             trials.map { (case, trial) ->
-                val expected = if (case.hasEnded) listOf(ENDED, SETTLED) else listOf(SETTLED)
+                val expected = listOf(case.outlived?.let { "$OUTLIVED $it" } ?: ENDED, SETTLED)
                 val check = {
                     trial.results.forEach { assertEquals(expected, it.sorted(), case.name) }
+                    if (case.outlived != null) assertEquals(trial.connections, trial.tried.toLong(), case.name)
                     assertTrue(trial.connections <= MAX_CONNECTIONS, "${case.name}: ${trial.connections} connections")
                 }
                 check
@@ -247,6 +267,7 @@
         /** One each 10 ms, 20 ms and so on within the second for which a replica is watched. */
         const val MAX_CONNECTIONS = 8
         const val ENDED = "ended"
+        const val OUTLIVED = "outlived"
         const val SETTLED = "settled"
 
         /** Longer than replicas are watched. */
