--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -32,7 +32,9 @@
         val cutOff = CutOffAttempt(attempt, now, othersRunning = record.ownLoad.requests)
         val isNearlyHeld = quarantine.crashesInARow(setOf(admitted.key)) > 1
         val settlingTime = if (isNearlyHeld) ReplicaProbes.WATCH_TIME else ReplicaProbes.SETTLING_TIME
-        probes.examine(record.entry, onEnded = { report(cutOff, admitted) }, onSettled = then, settlingTime)
+        probes.examine(record.entry, onEnded = { report(cutOff, admitted) }, onSettled = then, settlingTime) {
+            telemetry.outlived(admitted, cutOff, it)
+        }
     }
 
     /**
@@ -46,7 +48,7 @@
             GivenUpAttempt(replica.incarnation, admitted.request.id, admitted.suspects, attempt.startedAt, now),
         )
         if (quarantine.crashesInARow(admitted.suspects) == 0) return
-        probes.examine(replica, onEnded = { quarantine.report(reportOf(attempt, admitted, now)) }, onSettled = {})
+        probes.watch(replica) { quarantine.report(reportOf(attempt, admitted, now)) }
     }
 
     private fun report(cutOff: CutOffAttempt, admitted: AdmittedRequest) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineRefusals.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineRefusals.kt
@@ -6,7 +6,7 @@
 
 /** How one request is refused if replicas crash on it, or on a part of its prompt. */
 internal class QuarantineRefusals(private val context: ExchangeContext, private val admitted: AdmittedRequest) {
-    /** Returns the refusal before the request is sent, null if it may be; calls [onTrial] if it is sent as a trial. */
+    /** Returns the refusal right before a send, null if it may go out; calls [onTrial] if it does so as a trial. */
     fun beforeSend(onTrial: () -> Unit): Refusal? = when (val verdict = context.quarantine.admit(admitted.suspects)) {
         QuarantineVerdict.Allowed -> null
         QuarantineVerdict.Trial -> {
@@ -16,7 +16,7 @@
         is QuarantineVerdict.Held -> refusal(verdict)
     }
 
-    /** Returns the refusal of a request that was sent and would not be sent now, null if it would be. */
+    /** Returns the refusal if the request would not be sent now, null if it would be, also as a trial. */
     fun sinceSent(): Refusal? =
         (context.quarantine.verdict(admitted.suspects) as? QuarantineVerdict.Held)?.let { refusal(it) }
 
