Failing tests: a part that crashes replicas 0.3 s after the head, or 2 s after the first events

Cause (suspected): CrashStage counts a crash only within 250 ms of the head. What callers see: each request with the part crashes a replica.

--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/FragileReplica.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/FragileReplica.kt
@@ -38,6 +38,9 @@
 ) {
     /** How long connections are still accepted, and closed, after a crash. */
     var acceptsFor: Duration = Duration.ZERO
+
+    /** Events of a stream that are sent after the head, before the time to the crash begins. */
+    var eventsBeforeCrash = 0
 }
 
 /** A fatal request that reached a replica [at], with the attempt [id], beside [others] that were running. */
@@ -105,6 +108,7 @@
 
     private fun dieAnswering(id: String, request: SampleRequest, socket: Socket, started: Int) {
         if (fragility.hasHead) sendHead(id, request, socket)
+        for (event in 1..fragility.eventsBeforeCrash) sendEvent(event, socket)
         if (fragility.stopsWhenAbandoned) {
             if (isAbandoned(socket)) return
         } else {
@@ -123,15 +127,17 @@
         sendHead(id, request, socket)
         val output = socket.getOutputStream()
         if (request.route != SampleRoute.PROMPTS) return output.write(PLAIN_BODY.toByteArray())
-        for (event in 1..EVENTS) {
-            Thread.sleep(fragility.eventInterval.inWholeMilliseconds)
-            val text = "id: $event\ndata: a\n\n"
-            val chunk = if (fragility.isFramed) "${text.length.toString(HEXADECIMAL)}\r\n$text\r\n" else text
-            output.write(chunk.toByteArray())
-        }
+        for (event in 1..EVENTS) sendEvent(event, socket)
         if (fragility.isFramed) output.write("0\r\n\r\n".toByteArray())
     }
 
+    private fun sendEvent(event: Int, socket: Socket) {
+        Thread.sleep(fragility.eventInterval.inWholeMilliseconds)
+        val text = "id: $event\ndata: a\n\n"
+        val chunk = if (fragility.isFramed) "${text.length.toString(HEXADECIMAL)}\r\n$text\r\n" else text
+        socket.getOutputStream().write(chunk.toByteArray())
+    }
+
     private fun sendHead(id: String, request: SampleRequest, socket: Socket) {
         Thread.sleep(PREFILL_TIME.inWholeMilliseconds)
         val head = when (request.route) {
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/PromptCrashTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/PromptCrashTest.kt
@@ -104,6 +104,23 @@
         assertStopped(case, fragility, SLOW_ROUNDS, SLOW_INTERVAL)
     }
 
+    /** Guards against evidence that counts only if the crash follows within the time that most crashes took. */
+    @Test
+    fun findsAPartThatCrashesReplicasThreeTenthsOfASecondAfterTheHead() {
+        val fragility = Fragility(::isDeadly, timeToCrash = 300.milliseconds)
+        val case = Case("a head 300 ms before the crash", SOUND_PROMPTS + DEADLY_PROMPT)
+        assertStopped(case, fragility, SLOW_ROUNDS, interval = 200.milliseconds)
+    }
+
+    /** Guards against evidence that counts only before the first event of a response. */
+    @Test
+    fun findsAPartThatCrashesReplicasAfterSomeEvents() {
+        val fragility = Fragility(::isDeadly, timeToCrash = 2.seconds)
+        fragility.eventsBeforeCrash = 3
+        val case = Case("events 2 s before the crash", SOUND_PROMPTS + DEADLY_PROMPT)
+        assertStopped(case, fragility, rounds = SLOW_ROUNDS, interval = 600.milliseconds)
+    }
+
     /** Guards against evidence that counts only if the head of a response came before the crash. */
     @Test
     fun findsAPartThatCrashesReplicasBeforeTheHead() {
