Stand-ins for replicas share their connections, tests with processes their gateways

For a further test with gateways and replicas as processes. What replicas that stutter, or other ones, need is in one place: how requests are read and reports are answered (ReplicaConnection), and how store, replicas and gateways are started and called (GatewayFleet, with the callers' connection as it was). StutterFleet and StutteringReplica keep what only they do. No check changes.

--- a/standins/src/main/kotlin/org/guavapath/standins/service/StutteringReplica.kt
+++ b/standins/src/main/kotlin/org/guavapath/standins/service/StutteringReplica.kt
@@ -8,22 +8,17 @@
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
-import org.guavapath.platform.wire.ReplicaCodec
 import org.guavapath.platform.wire.SampleFleet
 import org.guavapath.platform.wire.SampleRequest
 import org.guavapath.platform.wire.SampleResponse
 import java.io.IOException
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.concurrent.thread
 import kotlin.random.Random
 
-private const val BACKLOG = 500
 private const val LATE_THREADS = 16
 
 /**
@@ -37,41 +32,27 @@
 
 /** Serves a replica that stutters. */
 internal class StutteringReplica(private val settings: StutteringSettings) {
-    private val listener = ServerSocket(settings.port, BACKLOG, InetAddress.getLoopbackAddress())
     private val runs = AtomicInteger()
     private val responses = ConcurrentLinkedQueue<SampleResponse>()
     private val late = Executors.newScheduledThreadPool(LATE_THREADS)
 
     init {
-        thread { while (true) listener.accept().let { socket -> thread { serve(socket) } } }
+        ReplicaConnection.listen(settings.port) { Connection(it) }
     }
 
-    private fun serve(socket: Socket) = try {
-        socket.use { Connection(it).serve() }
-    } catch (_: IOException) {
-        // Gateways close connections that stutter.
-    }
-
-    private inner class Connection(socket: Socket) {
-        private val input = socket.apply { tcpNoDelay = true }.getInputStream().bufferedReader()
-        private val output = socket.getOutputStream()
+    private inner class Connection(socket: Socket) : ReplicaConnection(socket) {
         private var beforeNext = ""
 
-        fun serve() = generateSequence { readHead().ifEmpty { null } }.forEach { head ->
-            val body = String(CharArray(SampleRequest.bodyLength(head)) { input.read().toChar() })
-            val id = SampleFleet.attemptIdIn(head)
-            if (id != null) answer(id) else write(ownResponse(head.first().split(' ')[1], body), Random.Default)
+        override fun ownResponse(path: String, body: String): String = when (path) {
+            "/standin/responses" -> SampleFleet.plainResponse(id = null, recorded())
+            else -> super.ownResponse(path, body)
         }
 
-        private fun readHead() = generateSequence { input.readLine()?.ifEmpty { null } }.toList()
-
-        private fun ownResponse(path: String, body: String): String = when (path) {
-            ReplicaCodec.REPORT_PATH -> SampleFleet.stateResponse(isLoading = false)
-            "/standin/responses" -> SampleFleet.plainResponse(id = null, recorded())
-            else -> SampleFleet.plainResponse(id = null, body)
+        override fun writeOwn(response: String) {
+            write(response, Random.Default)
         }
 
-        private fun answer(id: String) {
+        override fun answer(id: String, request: SampleRequest) {
             val plan = StutteringPlan(id, settings.number, runs.incrementAndGet())
             responses.add(plan.response)
             Thread.sleep(plan.milliseconds)
