Failing test with processes: the last part of one session's prompts crashes replica after replica

What callers see: requests with a part that crashes replicas go to replicas long after the fifth crash, and sound requests that share the other parts get 502 or 503. Cause (suspected): the last part of a prompt is never suspected.

Three gateways and six replicas run as processes. A replica ends (Runtime.halt) 20, 60 or 120 ms after the head of a response to a prompt with the part. A supervisor starts it again at once; half of them get a new name at the same address, and they are listed at once, 1.5 s or 3 s later. One request of the session each 200 ms, with a body of its own, goes out among sound ones with all its other parts, which were answered before. Bounds: at most 5 crashes, no request with the part at a replica more than 0.5 s after the fifth, all sound ones of the later half served.

--- a/standins/src/main/kotlin/org/guavapath/standins/Main.kt
+++ b/standins/src/main/kotlin/org/guavapath/standins/Main.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.json.Json
 import org.guavapath.standins.engine.EngineStandIn
 import org.guavapath.standins.platform.PlatformStandIn
+import org.guavapath.standins.service.CrashingReplica
 import org.guavapath.standins.service.ServiceStandIn
 import org.guavapath.standins.service.StutteringReplica
 import org.guavapath.standins.traffic.runTraffic
@@ -33,4 +34,5 @@
     settings.engines.forEach { EngineStandIn(it) }
     settings.servicePorts.forEach { ServiceStandIn(it) }
     settings.stutteringReplicas.forEach { StutteringReplica(it) }
+    settings.crashingReplicas.forEach { CrashingReplica(it) }
 }
--- a/standins/src/main/kotlin/org/guavapath/standins/StandInSettings.kt
+++ b/standins/src/main/kotlin/org/guavapath/standins/StandInSettings.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.Serializable
 import org.guavapath.standins.engine.EngineSettings
+import org.guavapath.standins.service.CrashingSettings
 import org.guavapath.standins.service.StutteringSettings
 
 /**
@@ -12,6 +13,7 @@
  * @property engines model engines to start
  * @property servicePorts one service is started on each of these ports
  * @property stutteringReplicas replicas of the sample fleet that stutter
+ * @property crashingReplicas replicas of the sample fleet that crash
  */
 @Serializable
 internal data class StandInSettings(
@@ -20,4 +22,5 @@
     val engines: List<EngineSettings> = emptyList(),
     val servicePorts: List<Int> = emptyList(),
     val stutteringReplicas: List<StutteringSettings> = emptyList(),
+    val crashingReplicas: List<CrashingSettings> = emptyList(),
 )
