--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeContext.kt
@@ -37,7 +37,7 @@
     val service: FleetService get() = destination.service
 
     /** Identity of the whole request; repeats have the same. */
-    val key: RequestKey = incoming.key(workspace?.name, request.prompt?.model)
+    val key: RequestKey = incoming.key(workspace?.name, request.prompt)
 
     /** What in the request may be the cause if a replica crashes: all parts of its prompt, and the whole request. */
     val suspects: Set<Suspect> by lazy(LazyThreadSafetyMode.NONE) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/IncomingRequest.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/IncomingRequest.kt
@@ -4,7 +4,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
-import org.guavapath.core.identity.ModelName
+import org.guavapath.core.fleet.PromptShape
 import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.memory.BodyReservation
 import org.guavapath.core.quarantine.RequestKey
@@ -33,9 +33,9 @@
     /** Value of the Host header without the port. */
     val host: String get() = headers.get("Host").orEmpty().substringBefore(':')
 
-    /** Returns the key that repeats of this request by callers of [workspace] for [model] have too. */
-    fun key(workspace: WorkspaceName?, model: ModelName?): RequestKey =
-        RequestKey.of(host, "${method.name()} $target", workspace, model, body.digest)
+    /** Returns the key that repeats of this request by callers of [workspace] with [prompt] have too. */
+    fun key(workspace: WorkspaceName?, prompt: PromptShape?): RequestKey =
+        RequestKey.of(host, "${method.name()} $target", workspace, prompt, body.digest)
 
     /**
      * Returns why the request is malformed, or null if it is valid.
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/RequestIdentityTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/RequestIdentityTest.kt
@@ -4,11 +4,15 @@
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
+import org.guavapath.core.fleet.PromptPart
+import org.guavapath.core.fleet.PromptShape
+import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.quarantine.RequestKey
 import org.guavapath.core.time.MonotonicTime
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
 
 class RequestIdentityTest {
     private class Case(
@@ -18,6 +22,7 @@
         val requestLine: String = "POST /offers/1?page=2",
         val workspace: String? = "first",
         val body: List<String> = listOf("body"),
+        val parts: List<String>? = null,
     ) {
         fun key(): RequestKey {
             val (method, target) = requestLine.split(' ')
@@ -25,7 +30,8 @@
             headers.forEach { (name, value) -> request.headers().add(name, value) }
             val incoming = IncomingRequest(request, MonotonicTime.ZERO)
             body.forEach { incoming.body.append(Unpooled.copiedBuffer(it, Charsets.UTF_8)) }
-            return incoming.key(workspace?.let(::WorkspaceName), model = null)
+            val prompt = parts?.let { ids -> PromptShape(ModelName("model"), 10, 10, ids.map { PromptPart(it, 10) }) }
+            return incoming.key(workspace?.let(::WorkspaceName), prompt)
         }
     }
 
@@ -42,6 +48,7 @@
         Case("no workspace", isRepeat = false, workspace = null),
         Case("another body", isRepeat = false, body = listOf("ydob")),
         Case("no body", isRepeat = false, body = emptyList()),
+        Case("a prompt", isRepeat = false, parts = listOf("shared", "own")),
         Case(
             "a target that ends with the workspace",
             isRepeat = false,
@@ -50,6 +57,14 @@
         ),
     )
 
+    /** Guards against taking a sound prompt for the repeat of another one with the same body. */
+    @Test
+    fun promptsOfOtherPartsAreNoRepeats() {
+        val key = { parts: List<String> -> Case("", isRepeat = true, parts = parts).key() }
+        assertEquals(key(listOf("shared", "own")), key(listOf("shared", "own")))
+        assertNotEquals(key(listOf("shared", "own")), key(listOf("shared", "other")))
+    }
+
     @Test
     fun repeatsHaveEqualKeys() {
         val first = Case("the first", isRepeat = true).key()
