Requests that outlive a crash elsewhere are evidence against their suspects as its cause

Callers that repeat a sound request were refused for 10 minutes as replicas were killed one after the other, although other copies of it, sent before, went on at other replicas. A gateway that hears of a crash now names the suspects of the report that it has running: sent earlier, to another replica that has not ended, with a successful response that has begun. What a gateway runs is looked at only when a report is new.

--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
@@ -33,12 +33,18 @@
     }
 
     /**
-     * Merges [reports] with what this VM knows; returns those that are new or have changed, as merged.
+     * Merges [reports] with what this VM knows, also of requests that it has [running]; returns those that are new or
+     * have changed, as merged.
      *
      * If there are too many, those of the shortest rows are dropped, the oldest first, on all VMs alike.
      */
-    fun add(reports: Collection<CrashReport>, now: MonotonicTime): List<CrashReport> {
-        val changed = reports.filter { now - it.at <= LONGEST_RETENTION }.mapNotNull { merge(it) }
+    fun add(
+        reports: Collection<CrashReport>,
+        now: MonotonicTime,
+        running: Collection<RunningRequest> = emptyList(),
+    ): List<CrashReport> {
+        val runningSuspects = RunningSuspects(withoutEnded(running, reports), reports)
+        val changed = reports.filter { now - it.at <= LONGEST_RETENTION }.mapNotNull { merge(it, runningSuspects) }
         if (changed.isEmpty()) return changed
         derivedRows = null
         if (byId.size >= MAX_REPORTS + MAX_SURPLUS) dropLeastRelevant()
@@ -59,9 +65,19 @@
         return hasExpired
     }
 
-    private fun merge(report: CrashReport): CrashReport? {
+    /** Returns those [running] requests whose replicas have not ended by what is known and by [reports]. */
+    private fun withoutEnded(
+        running: Collection<RunningRequest>,
+        reports: Collection<CrashReport>,
+    ): Collection<RunningRequest> {
+        if (running.isEmpty()) return running
+        val ended = (byId.values + reports).mapTo(HashSet()) { it.incarnation }
+        return running.filter { it.incarnation !in ended }
+    }
+
+    private fun merge(report: CrashReport, running: RunningSuspects): CrashReport? {
         val known = byId[report.id]
-        val merged = answered.observe(known?.merge(report) ?: report)
+        val merged = answered.observe(known?.merge(report) ?: running.observe(report))
         if (merged == known) return null
         byId[report.id] = merged
         return merged
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashQuarantine.kt
@@ -59,10 +59,18 @@
     public fun answered(suspects: Set<Suspect>, sentAt: MonotonicTime, now: MonotonicTime): List<CrashReport> =
         ledger.answered(suspects, sentAt, now).also { if (it.isNotEmpty()) derivedHolds = null }
 
-    /** Adds [reports] of this VM or others; returns those that are new or have changed, as merged. */
-    public fun add(reports: Collection<CrashReport>, now: MonotonicTime): List<CrashReport> {
+    /**
+     * Adds [reports] of this VM or others; returns those that are new or have changed, as merged.
+     *
+     * @param running what this VM has running, needed if a report is new
+     */
+    public fun add(
+        reports: Collection<CrashReport>,
+        now: MonotonicTime,
+        running: Collection<RunningRequest> = emptyList(),
+    ): List<CrashReport> {
         val trialsBefore = reports.associate { it.id to ledger.trialsOf(it) }
-        val changed = ledger.add(reports, now)
+        val changed = ledger.add(reports, now, running)
         if (changed.isEmpty()) return changed
         derivedHolds = null
         val tried = changed.filter { report -> trialsBefore[report.id].let { it != null && report.trials > it } }
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashReport.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashReport.kt
@@ -18,6 +18,7 @@
  * @property isStalled whether the response had begun and its first event was overdue, compared with sound responses
  * @property answeredBefore suspects in requests that were answered completely and had not been sent later
  * @property answeredSince suspects in requests that were sent later and answered completely
+ * @property outlived suspects in requests that other replicas were sent earlier and went on to answer after the crash
  * @property trials number of requests with held suspects that were sent to a replica to learn whether it crashes
  */
 public data class CrashReport(
@@ -29,6 +30,7 @@
     public val isStalled: Boolean = false,
     public val answeredBefore: Set<Suspect> = emptySet(),
     public val answeredSince: Set<Suspect> = emptySet(),
+    public val outlived: Set<Suspect> = emptySet(),
     public val trials: Int = 0,
 ) {
     init {
@@ -48,6 +50,7 @@
         isStalled = isStalled || other.isStalled,
         answeredBefore = answeredBefore + other.answeredBefore,
         answeredSince = answeredSince + other.answeredSince,
+        outlived = outlived + other.outlived,
         trials = maxOf(trials, other.trials),
     )
 }
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
@@ -47,6 +47,9 @@
         if (moments.size > 1 && crashes.size >= Suspicion.MAX_WEIGHT) Suspicion.MAX_WEIGHT else 1,
     )
     val wasAnswered: Boolean = crashes.any { crash -> crash.reports.any { suspect in it.answeredBefore } }
+
+    /** Whether requests with the suspect went on elsewhere that had been sent before one which a replica ended with. */
+    val wasOutlived: Boolean = crashes.any { crash -> crash.reports.any { suspect in it.outlived } }
     val reports: List<CrashReport> get() = crashes.flatMap { it.reports }
 
     /** Identities of the requests with the suspect that the crashed incarnations had. */
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
@@ -44,8 +44,11 @@
             }
         }
 
-        private fun sufficientWeight(row: CrashRow) =
-            if (row.suspect is PartKey && row.wasAnswered) SUFFICIENT_WEIGHT + 1 else SUFFICIENT_WEIGHT
+        private fun sufficientWeight(row: CrashRow) = when {
+            row.wasOutlived -> MAX_WEIGHT
+            row.suspect is PartKey && row.wasAnswered -> SUFFICIENT_WEIGHT + 1
+            else -> SUFFICIENT_WEIGHT
+        }
 
         /** One more crash is needed for each time that as many others are unexplained while they happened. */
         private fun neededFor(row: CrashRow, likely: List<CrashRow>, rows: Collection<CrashRow>): Int {
--- a/core/src/test/kotlin/org/guavapath/core/quarantine/HistoryRequests.kt
+++ b/core/src/test/kotlin/org/guavapath/core/quarantine/HistoryRequests.kt
@@ -47,6 +47,10 @@
     fun time(): Duration =
         if (case.hasStreams && random.nextInt(5) == 0) STREAM_TIME else meanTime * random.nextDouble(0.2, 1.8)
 
+    /** Returns after how long a replica crashes by a deadly request. */
+    fun timeToCrash(): Duration =
+        if (case.hasBegun) case.timeToCrash * random.nextDouble(2.0) else case.timeToCrash
+
     /** Returns whether the first event of the deadly response is overdue. */
     fun isStalled(): Boolean = when (case.head) {
         Head.NONE -> false
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -79,6 +79,9 @@
     /** Whether it has neither ended nor been cancelled. */
     val isRunning: Boolean get() = !hasEnded
 
+    /** Whether a successful response has begun and goes on. */
+    val isResponding: Boolean get() = !hasEnded && head?.isRelayed == true && progress.firstBytesAt != null
+
     /** The local port of its connection, null if it was not handed to one. */
     val port: Int? get() = call?.port
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashReportCodec.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashReportCodec.kt
@@ -23,6 +23,7 @@
         report.isStalled,
         encode(report.answeredBefore),
         encode(report.answeredSince),
+        encode(report.outlived),
         report.trials,
     )
 
@@ -36,6 +37,7 @@
         shared.isStalled,
         decode(shared.answeredBefore),
         decode(shared.answeredSince),
+        decode(shared.outlived),
         shared.trials,
     )
 
@@ -51,7 +53,7 @@
             isStalled = shared.stage == PeerMessage.CrashStage.BEFORE_FIRST_EVENT,
             parts(shared.answeredBefore),
             parts(shared.answeredSince),
-            shared.trials,
+            trials = shared.trials,
         )
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Exchange.kt
@@ -2,6 +2,7 @@
 
 import io.netty.util.concurrent.ScheduledFuture
 import org.guavapath.core.fleet.RetryPolicy
+import org.guavapath.core.quarantine.RunningRequest
 import org.guavapath.core.results.DispatchCode
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.pipeline.Refusal
@@ -27,6 +28,12 @@
     private val running get() = attempts.running
     private var timer: ScheduledFuture<*>? = null
 
+    /** What its replica has, if the response has begun and goes on. */
+    val responding: RunningRequest?
+        get() = running.responding?.let {
+            RunningRequest(it.choice.record.entry.incarnation, admitted.suspects, it.startedAt)
+        }
+
     override val progress: ExchangeProgress
         get() = ExchangeProgress(attempts.sends, running.current?.choice?.record?.entry?.id?.text, relay.hasBegun)
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -134,6 +134,7 @@
         targetAges.onLearned = { exchanges.waiting.toList().forEach { it.targetsChanged() } }
         scope.launch { targetAges.run() }
         scope.launch { rollout.run(scope) }
+        quarantine.running = { exchanges.running.mapNotNull { it.responding } }
         quarantine.onHeld = { exchanges.running.toList().forEach { it.endIfQuarantined() } }
         scope.launch { quarantine.run(scope) }
         pool.onHead = availability::responded
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -8,6 +8,7 @@
 import org.guavapath.core.quarantine.CrashReport
 import org.guavapath.core.quarantine.QuarantineVerdict
 import org.guavapath.core.quarantine.RequestKey
+import org.guavapath.core.quarantine.RunningRequest
 import org.guavapath.core.quarantine.Suspect
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.peers.PeerMessage
@@ -35,6 +36,9 @@
     /** Called when further suspects are held. */
     var onHeld: () -> Unit = {}
 
+    /** Returns the requests whose responses have begun and go on. */
+    var running: () -> List<RunningRequest> = { emptyList() }
+
     /** Reads the stored reports, publishes reports and forgets old ones. */
     suspend fun run(scope: CoroutineScope) {
         val addStored = { reports: List<CrashReport> ->
@@ -112,7 +116,8 @@
 
     private fun add(reports: List<CrashReport>): List<CrashReport> {
         val unknown = reports.filter { it !in quarantine }
-        val changed = quarantine.add(reports, MonotonicTime.now())
+        val running = if (unknown.isEmpty()) emptyList() else running()
+        val changed = quarantine.add(reports, MonotonicTime.now(), running)
         if (changed.isEmpty()) return changed
         val crashed = unknown.distinctBy { it.incarnation }
         // A crashed replica stays listed for a few seconds.
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RunningAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RunningAttempts.kt
@@ -21,6 +21,9 @@
     /** Whether a replacement of [silent] was sent. */
     val isReplacing: Boolean get() = silent?.isRunning == true && silent !== current
 
+    /** The newest attempt if a successful response has begun and goes on. */
+    val responding: Attempt? get() = current?.takeIf { it !== silent && it.isResponding }
+
     /** Whether [attempt] is one of these. */
     operator fun contains(attempt: Attempt): Boolean = attempt === current || attempt === silent
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -236,6 +236,7 @@
         val isStalled: Boolean,
         val answeredBefore: SharedSuspects,
         val answeredSince: SharedSuspects,
+        val outlived: SharedSuspects,
         val trials: Int,
     ) {
         /** Returns the report for builds that know parts of prompts only, null if the request has none. */
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
@@ -20,6 +20,7 @@
 import org.guavapath.core.quarantine.PartKey
 import org.guavapath.core.quarantine.QuarantineVerdict
 import org.guavapath.core.quarantine.RequestKey
+import org.guavapath.core.quarantine.RunningRequest
 import org.guavapath.core.quarantine.Suspect
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.peers.HIGHEST_PROTOCOL_VERSION
@@ -150,6 +151,29 @@
         }
     }
 
+    /** Guards against holding requests that go on at other replicas, as any gateway sees. */
+    @Test
+    fun suspectsInRequestsThatGoOnElsewhereAreNotHeld() {
+        val everyone = setOf(VmId("vm-1"), VmId("vm-2"))
+        val first = start("vm-1") { everyone }
+        val second = start("vm-2") { everyone }
+        val elsewhere = ReplicaIncarnation(ReplicaId("elsewhere"), 1)
+        val sentAt = MonotonicTime.now() + -1.minutes
+        second.running = { listOf(RunningRequest(elsewhere, PartKey.partsOf(prompt), sentAt)) }
+        report(first)
+        val until = TimeSource.Monotonic.markNow() + TIMEOUT
+        listOf(first, second).forEach { task ->
+            val isOutlived = {
+                val suspects = PartKey.partsOf(prompt)
+                task.crashesInARow(suspects) == CRASHES && !isHeld(task, suspects)
+            }
+            while (!onLoop { isOutlived() }) {
+                assertTrue(until.hasNotPassedNow(), "crashes are known and nothing is held")
+                Thread.sleep(POLL.inWholeMilliseconds)
+            }
+        }
+    }
+
     /** Guards against a rollout of gateways in which neither build learns of the other's crashes. */
     @Test
     fun reportsOfTheBuildBeforeAreUnderstoodAndTheOtherWayRound() {
