A response without a length counts as an answer only once its replica is known to live

Cause: such a response ends with its connection. Between two events the crash passed for its end, was never examined, and the request cleared all of its parts; within an event the request failed without an examination.

Change: the answer counts, as of its end, once the replica still accepts connections 300 ms later, for as long as the port of one that has ended may do so. If a connection is refused within 100 ms, the response was cut off by the crash and is reported like others; if later, it is neither. At most three connections a response, which other responses of the replica share. Within an event, the replica is examined before the request goes on as before. What callers get and the path of responses with a length do not change.

Evidence: both rows of `PromptCrashTest.findsAPart...WithinAResponseWithoutALength` failed before with 25 crashes, and pass.

What remains: a replica that starts again at the same address within 50 ms is taken for the one that has answered.

--- a/core/src/main/kotlin/org/guavapath/core/quarantine/AnsweredParts.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/AnsweredParts.kt
@@ -15,7 +15,7 @@
             size > MAX_PARTS
     }
 
-    fun record(parts: Set<PartKey>, now: MonotonicTime) = parts.forEach { times[it] = now }
+    fun record(parts: Set<PartKey>, now: MonotonicTime) = parts.forEach { times.merge(it, now, ::maxOf) }
 
     /** Returns when a prompt with [part] was last answered, null if none is remembered. */
     operator fun get(part: PartKey): MonotonicTime? = times[part]
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -32,8 +32,16 @@
     /** The next bytes of a successful response. */
     class BytesReceived(val bytes: ByteArray) : AttemptEvent()
 
-    /** The response is complete; [rejection] is the body of an unsuccessful one. */
-    class Complete(val head: ReplicaResponseHead, val response: ResponseHead, val rejection: ByteArray) : AttemptEvent()
+    /**
+     * The response is complete; [rejection] is the body of an unsuccessful one. Unless it [isFramed], it has ended with
+     * its connection.
+     */
+    class Complete(
+        val head: ReplicaResponseHead,
+        val response: ResponseHead,
+        val rejection: ByteArray,
+        val isFramed: Boolean,
+    ) : AttemptEvent()
 
     /** The response was cut off or invalid; the replica may have run the request. */
     class Failed(val reason: String) : AttemptEvent()
@@ -181,14 +189,15 @@
     override fun complete() {
         val response = checkNotNull(head)
         val isStream = admitted.route.retryPolicy is RetryPolicy.Stream && response.isRelayed
-        if (isStream && progress.bodyBytes == 0L && !isFramed(headers)) {
+        val isFramed = isFramed(headers)
+        if (isStream && progress.bodyBytes == 0L && !isFramed) {
             // A stream that breaks off before its first event would otherwise pass for a complete one.
             return failed("the connection was closed before the first event")
         }
         val event = when {
             response.isNotRun -> AttemptEvent.NotRun(response)
             response.isSuccess && !response.isSigned -> AttemptEvent.Failed("a success without a signature")
-            else -> AttemptEvent.Complete(response, responseHead(response, headers), rejection.bytes())
+            else -> AttemptEvent.Complete(response, responseHead(response, headers), rejection.bytes(), isFramed)
         }
         val outcome = when {
             response.isNotRun -> null
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AttemptHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AttemptHandler.kt
@@ -66,11 +66,13 @@
             !event.head.isSuccess -> handleFailure(attempt, event)
             attempt.part.end() -> {
                 attempts.advanced(attempt)
-                context.requestQuarantine.answered(admitted.key)
-                admitted.request.prompt?.let { context.quarantine.answered(it) }
+                context.crashes.answered(attempt, admitted, event.isFramed)
                 completion.succeed(attempt, event.head.status, attempts.sends)
             }
-            else -> retryOrFail(attempt, DispatchCode.OutcomeUnknown, "the stream ended within an event")
+            event.isFramed -> retryOrFail(attempt, DispatchCode.OutcomeUnknown, CUT_OFF_EVENT)
+            else -> context.crashes.examine(attempt, admitted) {
+                retryOrFail(attempt, DispatchCode.OutcomeUnknown, CUT_OFF_EVENT)
+            }
         }
     }
 
@@ -144,6 +146,8 @@
     }
 
     private companion object {
+        const val CUT_OFF_EVENT = "the stream ended within an event"
+
         /** Statuses from which a caller concludes that its request was not run. */
         val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -43,6 +43,23 @@
         probes.watch(replica, onEnded)
     }
 
+    /**
+     * Records that [attempt] was answered completely. A response without a length is ended by a crash too, and counts
+     * as an answer only once it is known that its replica lives.
+     */
+    fun answered(attempt: Attempt, admitted: AdmittedRequest, isFramed: Boolean) {
+        val now = MonotonicTime.now()
+        if (isFramed) return recordAnswer(admitted, now)
+        val record = attempt.choice.record
+        val cutOff = CutOffAttempt(attempt, now, othersRunning = record.ownLoad.requests)
+        probes.confirm(record.entry, onEnded = { report(cutOff, admitted) }, onAlive = { recordAnswer(admitted, now) })
+    }
+
+    private fun recordAnswer(admitted: AdmittedRequest, at: MonotonicTime) {
+        requests.answered(admitted.key, at)
+        admitted.request.prompt?.let { quarantine.answered(it, at) }
+    }
+
     private fun recordCrash(attempt: Attempt, admitted: AdmittedRequest, at: MonotonicTime) {
         val incarnation = attempt.choice.record.entry.incarnation
         requests.crashed(admitted.key, incarnation, admitted.request.id, attempt.startedAt, at)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -75,9 +75,9 @@
     fun isQuarantined(prompt: PromptShape): Boolean = quarantine.reports.isNotEmpty() &&
         quarantine.verdict(PartKey.sharedPartsOf(prompt), MonotonicTime.now()) is QuarantineVerdict.Quarantined
 
-    /** Records that [prompt] was answered completely. */
-    fun answered(prompt: PromptShape) {
-        if (quarantine.answered(PartKey.sharedPartsOf(prompt), MonotonicTime.now())) changed()
+    /** Records that [prompt] was answered completely [at] a time that may have passed. */
+    fun answered(prompt: PromptShape, at: MonotonicTime) {
+        if (quarantine.answered(PartKey.sharedPartsOf(prompt), at)) changed()
     }
 
     /** Adds a report of this gateway. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaProbes.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaProbes.kt
@@ -58,20 +58,47 @@
         onSettled: () -> Unit,
         settlingTime: Duration = SETTLING_TIME,
         onOutlived: (Survival) -> Unit = {},
-    ) = probeOf(replica).add(Inquiry(onEnded, onSettled, onOutlived, settlingTime, LISTING_TIME))
+    ) = probeOf(replica).add(Inquiry(onEnded, onSettled, onOutlived, Pace(settlingTime, LISTING_TIME)))
 
     /** Watches [replica], whose connection was closed here, and calls [onEnded] if it ends within [WATCH_TIME]. */
     fun watch(replica: Replica, onEnded: () -> Unit) =
-        probeOf(replica).add(Inquiry(onEnded, onSettled = {}, onOutlived = {}, SETTLING_TIME, WATCH_TIME))
+        probeOf(replica).add(Inquiry(onEnded, onSettled = {}, onOutlived = {}, Pace(SETTLING_TIME, WATCH_TIME)))
+
+    /**
+     * Examines [replica], which has ended a response by closing its connection, with few connections. An end that
+     * shows later is not one of that response, which was most likely whole.
+     *
+     * @param onEnded called if the replica has ended
+     * @param onAlive called in place of [onEnded] if the replica is still reached [CONFIRMATION_TIME] later; neither is
+     *   called if it has ended in between
+     */
+    fun confirm(replica: Replica, onEnded: () -> Unit, onAlive: () -> Unit) {
+        val onOutlived: (Survival) -> Unit = { if (it.isAccepting) onAlive() }
+        val pace = Pace(SETTLING_TIME, CONFIRMATION_TIME, QUIET_PAUSE, TIME_TO_REFUSE)
+        probeOf(replica).add(Inquiry(onEnded, onSettled = {}, onOutlived, pace))
+    }
 
     private fun probeOf(replica: Replica) = probes.getOrPut(replica.incarnation) { Probe(replica) }
 
+    /**
+     * How an inquiry goes on.
+     *
+     * @property firstPause time between the first connections
+     * @property attribution time within which a connection must be refused if the replica is to have ended when that of
+     *   the request closed
+     */
+    private class Pace(
+        val settlingTime: Duration,
+        val duration: Duration,
+        val firstPause: Duration = FIRST_PAUSE,
+        val attribution: Duration = WATCH_TIME,
+    )
+
     private class Inquiry(
         val onEnded: () -> Unit,
         private val onSettled: () -> Unit,
         val onOutlived: (Survival) -> Unit,
-        val settlingTime: Duration,
-        val duration: Duration,
+        val pace: Pace,
     ) {
         private var isSettled = false
         val startedAt = MonotonicTime.now()
@@ -101,9 +128,10 @@
             val now = MonotonicTime.now()
             inquiries += inquiry
             connectUntil = now + WATCH_TIME
-            after(inquiry.settlingTime) { inquiry.settle() }
-            after(inquiry.duration) { outlived(listOf(inquiry)) }
-            if (connectedAt.let { it == null || now - it > FIRST_PAUSE }) connect(++series, FIRST_PAUSE)
+            after(inquiry.pace.settlingTime) { inquiry.settle() }
+            after(inquiry.pace.duration) { outlived(listOf(inquiry)) }
+            val pause = inquiry.pace.firstPause
+            if (connectedAt.let { it == null || now - it > pause }) connect(++series, pause)
         }
 
         /** Tries a connection, and further ones after [pause] unless another series has begun. */
@@ -128,7 +156,7 @@
         /** The replica has ended, but after the requests that it has outlived. */
         private fun refused() {
             val now = MonotonicTime.now()
-            val (earlier, current) = inquiries.partition { now - it.startedAt > WATCH_TIME }
+            val (earlier, current) = inquiries.partition { now - it.startedAt > it.pace.attribution }
             outlived(earlier)
             ended(current)
         }
@@ -176,5 +204,13 @@
 
         /** Doubled with each connection. */
         private val FIRST_PAUSE = 10.milliseconds
+
+        private val QUIET_PAUSE = 50.milliseconds
+
+        /** Covers the first two connections; most replicas that run on and end later have not ended by then. */
+        private val TIME_TO_REFUSE = 100.milliseconds
+
+        /** The port of a replica that has ended may accept connections for 250 ms. */
+        val CONFIRMATION_TIME = 300.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RequestQuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RequestQuarantineTask.kt
@@ -51,11 +51,12 @@
         at: MonotonicTime,
     ) = add(listOf(quarantine.crashOf(key, incarnation, request, sentAt, at)))
 
-    /** Records that a request with [key] was answered completely. */
-    fun answered(key: RequestKey) {
-        if (quarantine.answered(key, MonotonicTime.now())) {
+    /** Records that a request with [key] was answered completely [at] a time that may have passed. */
+    fun answered(key: RequestKey, at: MonotonicTime) {
+        if (quarantine.answered(key, at)) {
             onChanged()
-            peers.broadcast(PeerMessage.RequestCrashes(emptyList(), mapOf(key.bits to 0), isGreeting = false))
+            val ago = (MonotonicTime.now() - at).inWholeMilliseconds
+            peers.broadcast(PeerMessage.RequestCrashes(emptyList(), mapOf(key.bits to ago), isGreeting = false))
         }
     }
 
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/FragileReplica.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/FragileReplica.kt
@@ -38,6 +38,9 @@
 ) {
     /** How long connections are still accepted, and closed, after a crash. */
     var acceptsFor: Duration = Duration.ZERO
+
+    /** What the replica sends after the head, if there is one, before it crashes. */
+    var lastWords = ""
 }
 
 /** A fatal request that reached a replica [at], with the attempt [id], beside [others] that were running. */
@@ -105,6 +108,7 @@
 
     private fun dieAnswering(id: String, request: SampleRequest, socket: Socket, started: Int) {
         if (fragility.hasHead) sendHead(id, request, socket)
+        socket.getOutputStream().write(fragility.lastWords.toByteArray())
         if (fragility.stopsWhenAbandoned) {
             if (isAbandoned(socket)) return
         } else {
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/PromptCrashTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/PromptCrashTest.kt
@@ -3,6 +3,7 @@
 import org.guavapath.core.results.DispatchCode
 import org.guavapath.platform.wire.SampleRequest
 import org.guavapath.platform.wire.SampleRoute
+import org.junit.jupiter.api.assertAll
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -83,10 +84,28 @@
         }
     }
 
+    /** Guards against taking a response without a length that its replica's crash has cut off for a complete answer. */
+    @Test
+    fun findsAPartThatCrashesReplicasWithinAResponseWithoutALength() = assertAll(
+        { checkLastWords("between two events", EVENT) },
+        { checkLastWords("within an event", EVENT + EVENT.take(EVENT.length / 2)) },
+    )
+
+    private fun checkLastWords(name: String, words: String) =
+        FragileFleet(GATEWAYS, Fragility(::isDeadly, isFramed = false).apply { lastWords = words }).use { fleet ->
+            val prompts = List(ROUNDS) { SOUND_PROMPTS + DEADLY_PROMPT }.flatten()
+            val responses = fleet.sendAll(prompts, UNFRAMED_INTERVAL)
+            assertTrue(fleet.crashes in 1..MAX_CRASHES, "$name: ${fleet.crashes} crashes")
+            val sound = responses.filter { it.sharedParts in SOUND_PROMPTS }.takeLast(responses.size / 2)
+            assertEquals(sound.size, sound.count { it.isServed }, "$name: sound requests served")
+            val first = responses.first { it.sharedParts in DEADLY_PROMPT }
+            assertTrue(EVENT in first.text, "$name: the event is relayed")
+        }
+
     /** Guards against refusing sound requests because their replicas crashed for other reasons. */
     @Test
-    fun ordinaryCrashesQuarantineNothing() {
-        FragileFleet(GATEWAYS, Fragility(isFatal = { false })).use { fleet ->
+    fun ordinaryCrashesQuarantineNothing() = listOf(true, false).forEach { isFramed ->
+        FragileFleet(GATEWAYS, Fragility(isFatal = { false }, isFramed = isFramed)).use { fleet ->
             val responses = fleet.sendAll(List(ROUNDS) { SOUND_PROMPTS }.flatten()) { index ->
                 val crash = index / REQUESTS_PER_CRASH
                 if (index % REQUESTS_PER_CRASH == 0) fleet.replicas[crash % fleet.replicas.size].crash()
@@ -99,6 +118,7 @@
 
     private companion object {
         const val GATEWAYS = 2
+        const val EVENT = "id: 1\ndata: a\n\n"
         const val ROUNDS = 25
         const val SLOW_ROUNDS = 12
         const val REQUESTS_PER_CRASH = 5
@@ -107,6 +127,9 @@
         const val MAX_CRASHES = 5
         val REQUEST_INTERVAL = 40.milliseconds
 
+        /** A round then takes longer than a crash and its examination. */
+        val UNFRAMED_INTERVAL = 80.milliseconds
+
         /** A round then takes longer than a replica and, after the gateway has given it up, a second one to crash. */
         val SLOW_INTERVAL = 450.milliseconds
         val SOUND_PROMPTS = listOf(
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaProbesTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaProbesTest.kt
@@ -86,6 +86,10 @@
             }.get()
         }
 
+        fun confirm(result: MutableList<String>) {
+            loop.submit { probes.confirm(replica, { result += ENDED }, { result += ALIVE }) }.get()
+        }
+
         fun listNextIncarnation() = list(replica.copy(startedAt = replica.startedAt + 1))
 
         fun list(vararg entries: Replica) {
@@ -261,7 +265,42 @@
         trials.values.forEach { it.close() }
     }
 
+    /** Guards against responses without a length that count as answers though their replica has crashed. */
+    @Test
+    fun aReplicaIsConfirmedOnceItHasLivedOnAndWithFewConnections() {
+        val results = List(CONFIRMATIONS) { CopyOnWriteArrayList<String>() }
+        val changes = listOf<Triple<String, List<String>, (Trial) -> Unit>>(
+            Triple("it lives", listOf(ALIVE)) {},
+            Triple("it lives, and ends a second later", listOf(ALIVE)) { it.server.closeAfter(1.seconds) },
+            Triple("it refuses connections", listOf(ENDED)) { it.server.close() },
+            Triple("it refuses connections after 20 ms", listOf(ENDED)) { it.server.closeAfter(20.milliseconds) },
+            Triple("it refuses connections after 120 ms", emptyList()) { it.server.closeAfter(120.milliseconds) },
+            Triple("its next incarnation is listed", listOf(ENDED)) { it.listNextIncarnation() },
+            Triple("it is not reached", emptyList()) { it.block() },
+        )
+        val checks = changes.map { (name, expected, change) ->
+            {
+                results.forEach { it.clear() }
+                Trial().use { trial ->
+                    trial.list(trial.replica)
+                    change(trial)
+                    results.forEach { trial.confirm(it) }
+                    Thread.sleep(TIME_TO_DECIDE.inWholeMilliseconds)
+                    results.forEach { assertEquals(expected, it.toList(), name) }
+                    val allowed = if (ENDED in expected) CONFIRMATIONS else MAX_QUIET_CONNECTIONS
+                    assertTrue(trial.connections <= allowed, "$name: ${trial.connections} connections")
+                }
+            }
+        }
+        assertAll(checks)
+    }
+
     private companion object {
+        const val ALIVE = "alive"
+        const val CONFIRMATIONS = 10
+
+        /** At once, and 50 and 150 ms later. */
+        const val MAX_QUIET_CONNECTIONS = 3
         const val BACKLOG = 100
 
         /** One each 10 ms, 20 ms and so on within the second for which a replica is watched. */
