--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/FragileReplica.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/FragileReplica.kt
@@ -41,6 +41,9 @@
 
     /** Events of a stream that are sent after the head, before the time to the crash begins. */
     var eventsBeforeCrash = 0
+
+    /** What the replica sends after the head, if there is one, before it crashes. */
+    var lastWords = ""
 }
 
 /** A fatal request that reached a replica [at], with the attempt [id], beside [others] that were running. */
@@ -109,6 +112,7 @@
     private fun dieAnswering(id: String, request: SampleRequest, socket: Socket, started: Int) {
         if (fragility.hasHead) sendHead(id, request, socket)
         for (event in 1..fragility.eventsBeforeCrash) sendEvent(event, socket)
+        socket.getOutputStream().write(fragility.lastWords.toByteArray())
         if (fragility.stopsWhenAbandoned) {
             if (isAbandoned(socket)) return
         } else {
