Suspects that were also in other requests on the crashed replicas give way to narrower ones

The part that was in fewer of the requests is held first; if it is not the cause, the next crash shows that.

--- a/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
@@ -35,7 +35,8 @@
         fun of(rows: Collection<CrashRow>): List<Suspicion> {
             val likely = rows.filter { it.weight >= sufficientWeight(it) }
             if (likely.isEmpty()) return emptyList()
-            val causes = withoutExplained(likely.filter { it.weight >= minOf(MAX_WEIGHT, neededFor(it, likely, rows)) })
+            val sufficient = likely.filter { it.weight >= minOf(MAX_WEIGHT, neededFor(it, likely, rows)) }
+            val causes = withoutExplained(sufficient.filterNot { isWider(it, sufficient) })
             val together = causes.groupBy { cause -> inAllRequestsOf(cause, rows) }
             return together.map { (suspects, ofThem) ->
                 val others = (together - setOf(suspects)).values.flatten()
@@ -58,6 +59,15 @@
             return sufficientWeight(row) + others.map { it.incarnation }.toSet().size / row.depth
         }
 
+        /**
+         * Returns whether another suspect was in some of the requests with the one of [row], on each replica that
+         * crashed: if it is not the cause, the next crash on a request without it shows that.
+         */
+        private fun isWider(row: CrashRow, rows: List<CrashRow>) = rows.any { other ->
+            other.requests.size < row.requests.size && other.incarnations == row.incarnations &&
+                (row.wasAnswered || !other.wasAnswered) && row.requests.containsAll(other.requests)
+        }
+
         /** Returns [rows] without those that have no crash of their own; those with the same crashes are kept. */
         private fun withoutExplained(rows: List<CrashRow>): List<CrashRow> {
             var left = rows
--- a/core/src/test/kotlin/org/guavapath/core/quarantine/CrashQuarantineTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/quarantine/CrashQuarantineTest.kt
@@ -214,6 +214,18 @@
         Case("a request with the other part goes on", listOf("a x"), listOf("a")) {
             repeat(3) { crashed("r$it", "a", "x", isStalled = false, run = Run(beside = keys("a"))) }
         },
+        Case("sound requests with the other parts run beside each", listOf("a b x"), listOf("a b")) {
+            repeat(3) {
+                crashed("r$it", "a", "b", "x", isStalled = false)
+                crashed("r$it", "a", "b", isStalled = false, after = Duration.ZERO)
+            }
+        },
+        Case("a crash follows on a request without the part", listOf("a b x", "a b"), emptyList()) {
+            repeat(4) {
+                crashed("r$it", "a", "b", isStalled = false)
+                if (it < 3) crashed("r$it", "a", "b", "x", isStalled = false, after = Duration.ZERO)
+            }
+        },
         Case("what runs beside the cause does not count", listOf("x"), listOf("y")) {
             repeat(4) {
                 crashed("r$it", "x", isStalled = false)
--- a/core/src/test/kotlin/org/guavapath/core/quarantine/QuarantineHistoryTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/quarantine/QuarantineHistoryTest.kt
@@ -22,7 +22,7 @@
     @Test
     fun atMostFiveCrashesByAPartInAllHistories() = checkRows(rows - ROWS_OF_ONE_MOMENT)
 
-    /** Guards against sends after copies of a request have ended several replicas within one moment, which count once. */
+    /** Guards against sends after copies of a request have ended several replicas within a moment, which count once. */
     @Test
     fun crashesWithinOneMomentEndTheSendsToo() = checkRows(rows.filter { it in ROWS_OF_ONE_MOMENT })
 
