Quarantine: reports that a gateway has forgotten are no news to it

Cause: a gateway forgets a report 10 min (settled ones 10 s) after the crash, but took it again from the message of another one that had not forgotten it yet, and published it as news; up to 24 h old ones were taken. Gateways that forget at different moments of a second thus can send the same reports to each other again and again. Change: what is added too old, and no hold keeps, is dropped at once and is not reported as changed. Evidence: CrashQuarantineTest#whatAVmHasForgottenIsNoNewsToIt fails before at "too little evidence"; the loop was not played with gateways. Why it works: a report can only become news where it would stay.

--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
@@ -48,17 +48,20 @@
     /** Removes reports that are too old to matter at [now], but for those in [kept]; returns whether there were any. */
     fun expire(now: MonotonicTime, kept: Set<Pair<ReplicaIncarnation, RequestId>>): Boolean {
         val hasExpired = byId.values.removeIf { report ->
-            val retention = when {
-                report.isSettled -> SETTLED_RETENTION
-                report.id in kept -> LONGEST_RETENTION
-                else -> RETENTION
+            if (report.id in kept && !report.isSettled) {
+                now - report.at > LONGEST_RETENTION
+            } else {
+                isExpired(report, now)
             }
-            now - report.at > retention
         }
         if (hasExpired) derivedRows = null
         return hasExpired
     }
 
+    /** Returns whether [report] is too old to matter at [now], unless suspects are held for it. */
+    fun isExpired(report: CrashReport, now: MonotonicTime): Boolean =
+        now - report.at > if (report.isSettled) SETTLED_RETENTION else RETENTION
+
     private fun merge(report: CrashReport): CrashReport? {
         val known = byId[report.id]
         val merged = answered.observe(known?.merge(report) ?: report)
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashQuarantine.kt
@@ -65,13 +65,16 @@
         val changed = ledger.add(reports, now)
         if (changed.isEmpty()) return changed
         derivedHolds = null
-        val tried = changed.filter { report -> trialsBefore[report.id].let { it != null && report.trials > it } }
+        // VMs forget a report one after the other: as news to those that have, it would go round without end.
+        if (changed.any { ledger.isExpired(it, now) }) expire(now)
+        val remaining = changed.filter { it in ledger }
+        val tried = remaining.filter { report -> trialsBefore[report.id].let { it != null && report.trials > it } }
             .map { it.id }
         if (tried.isNotEmpty()) {
             holds.filter { hold -> tried.any { it in hold.suspicion.row.requests } }
                 .forEach { trialEnds[it.suspects] = now + TRIAL_TIMEOUT }
         }
-        return changed
+        return remaining
     }
 
     /** Returns whether a request with [suspects] may be sent at [now]. */
--- a/core/src/test/kotlin/org/guavapath/core/quarantine/CrashQuarantineTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/quarantine/CrashQuarantineTest.kt
@@ -306,6 +306,47 @@
         assertIs<QuarantineVerdict.Allowed>(history.verdict("x"))
     }
 
+    /** Guards against messages without end between VMs that forget the same reports one after the other. */
+    @Test
+    fun whatAVmHasForgottenIsNoNewsToIt() {
+        val histories = mapOf<String, History.() -> Unit>(
+            "too little evidence" to {
+                crashed("r1", "x", isStalled = false)
+                wait(10.minutes)
+            },
+            "no suspect is left" to {
+                crashed("r1", "x", run = Run("one"))
+                quarantine.answered(keys("x") + RequestKey("one".hashCode().toLong()), now, now)
+                wait(10.seconds)
+            },
+            "long after a hold" to {
+                repeat(3) { crashed("r$it", "x", isStalled = false) }
+                wait(10.minutes + 30.seconds)
+            },
+        )
+        histories.forEach { (name, events) ->
+            val first = History().apply(events)
+            val reports = first.quarantine.reports.toList()
+            first.wait(1.milliseconds)
+            first.quarantine.expire(first.now)
+            assertEquals(emptyList(), first.quarantine.reports.toList(), name)
+            assertEquals(emptyList(), first.quarantine.add(reports, first.now), name)
+            assertEquals(emptyList(), first.quarantine.reports.toList(), name)
+        }
+    }
+
+    @Test
+    fun aVmThatStartsLearnsOfALongHold() {
+        val first = History()
+        repeat(6) { first.crashed("r$it", "x", isStalled = false) }
+        first.wait(15.minutes)
+        first.quarantine.expire(first.now)
+        val second = History()
+        second.waitUntil(first.now)
+        second.quarantine.add(first.quarantine.reports.toList(), second.now)
+        assertEquals(true, second.isHeld("x"))
+    }
+
     /** Guards against messages without end between VMs that cannot keep all reports, and against losing the cause. */
     @Test
     fun tooManyReportsDropThoseOfTheShortestRowsOnAllVmsAlike() {
