Quarantine: replicas lost at one moment are one crash in reports of the build before

Cause: the build before does not say when a request was sent; the moment of the crash was taken for it, so each crash seemed to follow any earlier one, and three replicas that ended 10 ms apart counted as three crashes in a row. Change: the send is taken to be 250 ms before, within which that build reports crashes after the head. Evidence: the new case of QuarantineTaskTest fails before (held), all of the class pass after; no play with two builds.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashReportCodec.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashReportCodec.kt
@@ -12,6 +12,9 @@
 
 /** Converts crash reports for other gateways and the store, whose clocks differ; the age of a report is the same. */
 internal object CrashReportCodec {
+    /** The build before reports requests for which the head of the response came within that time before the crash. */
+    private val TIME_SINCE_HEAD = 250.milliseconds
+
     /** Encodes [report] as of [now]. */
     fun encode(report: CrashReport, now: MonotonicTime) = PeerMessage.SharedCrashReport(
         report.incarnation.id.text,
@@ -45,7 +48,7 @@
         return CrashReport(
             ReplicaIncarnation(ReplicaId(shared.replica), shared.startedAt),
             shared.request,
-            sentAt = at,
+            sentAt = at + -TIME_SINCE_HEAD,
             at,
             parts(shared.parts),
             isStalled = shared.stage == PeerMessage.CrashStage.BEFORE_FIRST_EVENT,
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
@@ -173,6 +173,29 @@
         assertEquals(sent, sent.forVersion(HIGHEST_PROTOCOL_VERSION))
     }
 
+    /** Guards against taking replicas that are lost at one moment for crashes in a row while a build is rolled out. */
+    @Test
+    fun replicasLostAtOneMomentAreOneCrashInReportsOfTheBuildBefore() {
+        val stage = PeerMessage.CrashStage.JUST_BEGUN
+        val parts = listOf(7L)
+        val none = emptyList<Long>()
+        val crashes = { prefix: String, apart: Long ->
+            List(CRASHES) {
+                val id = "$prefix-$it"
+                PeerMessage.SharedCrash(id, 1, RequestId(id), 10_000L - apart * it, stage, parts, none, none, trials = 0)
+            }
+        }
+        val isHeld = { old: List<PeerMessage.SharedCrash> ->
+            val task = start("vm-${old.first().replica}")
+            onLoop { task.received(VmId("vm-2"), PeerMessage.PromptCrashes(old, isGreeting = false)) }
+            onLoop { isHeld(task, setOf(PartKey(7))) }
+        }
+        assertEquals(false, isHeld(crashes("at-one-moment", 10)))
+        assertEquals(true, isHeld(crashes("in-a-row", 300)))
+        val oneReplica = crashes("one-replica", 300).map { it.copy(replica = "one-replica") }
+        assertEquals(false, isHeld(oneReplica), "one end that gateways found at different times")
+    }
+
     private companion object {
         const val CRASHES = 3
         val TIMEOUT = 5.seconds
