Quarantine: depths of crashes without a comparison of each pair

Cause: the crashes of a popular part were compared pair by pair whenever a report arrives. Change: the earlier crashes that one follows are a prefix in the order of time; its largest depth is looked up.

--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
@@ -57,12 +57,17 @@
     /** The first crash of each depth. */
     val firstOfEachDepth: List<SuspectedCrash> get() = moments.map { it.first() }
 
-    private fun depths() = IntArray(crashes.size).also { depths ->
+    private fun depths(): IntArray {
+        val depths = IntArray(crashes.size)
+        // The largest depth among the first crashes, by their number.
+        val largest = IntArray(crashes.size + 1)
         crashes.forEachIndexed { index, crash ->
             val earliestNext = maxOf(crash.at + -ONE_MOMENT, crash.sentAt)
-            val before = (0 until index).filter { crashes[it].at <= earliestNext }.maxOfOrNull { depths[it] } ?: 0
-            depths[index] = before + 1
+            val found = crashes.binarySearch(toIndex = index) { if (it.at <= earliestNext) -1 else 1 }
+            depths[index] = largest[-found - 1] + 1
+            largest[index + 1] = maxOf(largest[index], depths[index])
         }
+        return depths
     }
 
     companion object {
