--- a/core/src/main/kotlin/org/guavapath/core/quarantine/RequestKey.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/RequestKey.kt
@@ -1,13 +1,13 @@
 package org.guavapath.core.quarantine
 
 import com.dynatrace.hash4j.hashing.Hashing
-import org.guavapath.core.identity.ModelName
+import org.guavapath.core.fleet.PromptShape
 import org.guavapath.core.identity.WorkspaceName
 
 /**
  * Identity of a whole request: repeats of a request have the same key, whichever gateway they arrive at.
  *
- * @property bits hash of the host, the target, the workspace, the model and the body
+ * @property bits hash of the host, the target, the workspace, the model, the body and the parts of the prompt
  */
 @JvmInline
 public value class RequestKey(override val bits: Long) : Suspect {
@@ -23,13 +23,13 @@
          * Neither the id of the attempt nor other headers count, as they change with each repeat.
          *
          * @param workspace the caller's workspace, null on open routes
-         * @param model the model that is asked for, null without a prompt
+         * @param prompt the prompt, null if there is none; its parts may be told apart by headers only
          */
         public fun of(
             host: String,
             target: String,
             workspace: WorkspaceName?,
-            model: ModelName?,
+            prompt: PromptShape?,
             body: BodyDigest,
         ): RequestKey {
             val hash = Hashing.xxh3_64().hashStream()
@@ -37,9 +37,10 @@
                 .putString(target)
                 .putBoolean(workspace != null)
                 .putString(workspace?.text.orEmpty())
-                .putBoolean(model != null)
-                .putString(model?.text.orEmpty())
+                .putBoolean(prompt != null)
+                .putString(prompt?.model?.text.orEmpty())
                 .putLong(body.bits)
+            prompt?.parts?.forEach { hash.putString(it.id) }
             return RequestKey(hash.asLong)
         }
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -13,8 +13,19 @@
 ) {
     private val pauses = HashMap<ServiceName, FirstEventPauses>()
 
-    /** Records that the response to [attempt] is complete. */
-    fun answered(attempt: Attempt, admitted: AdmittedRequest) {
+    /**
+     * Records that [attempt] was answered completely. A response without a length is ended by a crash too, and counts
+     * as an answer only once it is known that its replica lives.
+     */
+    fun answered(attempt: Attempt, admitted: AdmittedRequest, isFramed: Boolean) {
+        if (isFramed) return recordAnswer(attempt, admitted)
+        val record = attempt.choice.record
+        val cutOff = CutOffAttempt(attempt, MonotonicTime.now(), othersRunning = record.ownLoad.requests)
+        val onAlive = { recordAnswer(attempt, admitted) }
+        probes.confirm(record.entry, onEnded = { report(cutOff, admitted) }, onAlive)
+    }
+
+    private fun recordAnswer(attempt: Attempt, admitted: AdmittedRequest) {
         quarantine.answered(admitted.suspects, attempt.startedAt)
         val headAt = attempt.progress.headAt
         val firstBytesAt = attempt.progress.firstBytesAt
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/PromptCrashTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/PromptCrashTest.kt
@@ -128,10 +128,28 @@
         assertStopped(Case("no head before the crash", SOUND_PROMPTS + DEADLY_PROMPT), fragility)
     }
 
+    /** Guards against taking a response without a length that its replica's crash has cut off for a complete answer. */
+    @Test
+    fun findsAPartThatCrashesReplicasWithinAResponseWithoutALength() = assertAll(
+        { checkLastWords("between two events", EVENT) },
+        { checkLastWords("within an event", EVENT + EVENT.take(EVENT.length / 2)) },
+    )
+
+    private fun checkLastWords(name: String, words: String) =
+        FragileFleet(GATEWAYS, Fragility(::isDeadly, isFramed = false).apply { lastWords = words }).use { fleet ->
+            val requests = requests(List(ROUNDS) { SOUND_PROMPTS + DEADLY_PROMPT }.flatten())
+            val responses = fleet.sendAll(requests, UNFRAMED_INTERVAL)
+            assertTrue(fleet.crashes in 1..MAX_CRASHES, "$name: ${fleet.crashes} crashes")
+            val sound = responses.filter { !isDeadly(it.request) }.takeLast(responses.size / 2)
+            assertEquals(sound.size, sound.count { it.isServed }, "$name: sound requests served")
+            val first = responses.first { isDeadly(it.request) }
+            assertTrue(EVENT in first.text, "$name: the event is relayed")
+        }
+
     /** Guards against refusing sound requests because their replicas crashed for other reasons. */
     @Test
-    fun ordinaryCrashesQuarantineNothing() {
-        FragileFleet(GATEWAYS, Fragility(isFatal = { false })).use { fleet ->
+    fun ordinaryCrashesQuarantineNothing() = listOf(true, false).forEach { isFramed ->
+        FragileFleet(GATEWAYS, Fragility(isFatal = { false }, isFramed = isFramed)).use { fleet ->
             val responses = fleet.sendAll(requests(List(ROUNDS) { SOUND_PROMPTS }.flatten())) { index ->
                 val crash = index / REQUESTS_PER_CRASH
                 if (index % REQUESTS_PER_CRASH == 0) fleet.replicas[crash % fleet.replicas.size].crash()
@@ -144,6 +162,7 @@
 
     private companion object {
         const val GATEWAYS = 2
+        const val EVENT = "id: 1\ndata: a\n\n"
         const val ROUNDS = 25
         const val SLOW_ROUNDS = 12
         const val REQUESTS_PER_CRASH = 5
@@ -155,6 +174,9 @@
         /** Time within which all gateways have heard of a crash. */
         val NEWS_TIME = 500.milliseconds
 
+        /** A round then takes longer than a crash and its examination. */
+        val UNFRAMED_INTERVAL = 80.milliseconds
+
         /** A round then takes longer than a replica and, after the gateway has given it up, a second one to crash. */
         val SLOW_INTERVAL = 450.milliseconds
         val SOUND_PROMPTS = listOf(
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/RequestIdentityTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/RequestIdentityTest.kt
@@ -4,11 +4,15 @@
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
+import org.guavapath.core.fleet.PromptPart
+import org.guavapath.core.fleet.PromptShape
+import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.quarantine.RequestKey
 import org.guavapath.core.time.MonotonicTime
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
 
 class RequestIdentityTest {
     private class Case(
@@ -19,13 +23,13 @@
         val workspace: String? = "first",
         val body: List<String> = listOf("body"),
     ) {
-        fun key(): RequestKey {
+        fun key(prompt: PromptShape? = null): RequestKey {
             val (method, target) = requestLine.split(' ')
             val request = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), target)
             headers.forEach { (name, value) -> request.headers().add(name, value) }
             val incoming = IncomingRequest(request, MonotonicTime.ZERO)
             body.forEach { incoming.body.append(Unpooled.copiedBuffer(it, Charsets.UTF_8)) }
-            return incoming.key(workspace?.let(::WorkspaceName), model = null)
+            return incoming.key(workspace?.let(::WorkspaceName), prompt)
         }
     }
 
@@ -50,6 +54,16 @@
         ),
     )
 
+    /** Guards against taking a sound prompt for the repeat of another one with the same body. */
+    @Test
+    fun promptsOfOtherPartsAreNoRepeats() {
+        val key = { parts: List<String> ->
+            Case("", isRepeat = true).key(PromptShape(ModelName("model"), 10, 10, parts.map { PromptPart(it, 10) }))
+        }
+        assertEquals(key(listOf("shared", "own")), key(listOf("shared", "own")))
+        assertNotEquals(key(listOf("shared", "own")), key(listOf("shared", "other")))
+    }
+
     @Test
     fun repeatsHaveEqualKeys() {
         val first = Case("the first", isRepeat = true).key()
