--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
@@ -206,7 +206,8 @@
         val crashes = { prefix: String, apart: Long ->
             List(CRASHES) {
                 val id = "$prefix-$it"
-                PeerMessage.SharedCrash(id, 1, RequestId(id), 10_000L - apart * it, stage, parts, none, none, trials = 0)
+                val age = 10_000L - apart * it
+                PeerMessage.SharedCrash(id, 1, RequestId(id), age, stage, parts, none, none, trials = 0)
             }
         }
         val isHeld = { old: List<PeerMessage.SharedCrash> ->
