--- a/core/src/test/kotlin/org/guavapath/core/quarantine/RepeatedRequestTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/quarantine/RepeatedRequestTest.kt
@@ -130,6 +130,13 @@
         },
     )
 
+    /** Adds crashes of two replicas, and one more of the second, listed as before, on what was sent [sentAfter] that. */
+    private fun CrashQuarantine.crashedAgain(sentAfter: Duration) {
+        val sentAt = start + 2.seconds + sentAfter
+        (1..2).forEach { crashed(it, 1.seconds * it) }
+        add(crash(deadly, number = 3, at = sentAt + RUN_TIME, sentAt = sentAt, replica = 2))
+    }
+
     private val cases = listOf(
         Case("nothing has crashed", false) {},
         Case("two crashes in a row", false) { (1..2).forEach { crashed(it, 1.seconds * it) } },
@@ -157,6 +164,12 @@
         Case("three runs of a replica that is listed with the first one", true) {
             (1..3).forEach { add(crash(deadly, it, at = start + 1.seconds * it, replica = 1)) }
         },
+        Case("what is sent 500 ms after a crash has reached the next run, which is not listed yet", true) {
+            crashedAgain(500.milliseconds)
+        },
+        Case("what is sent 50 ms after a crash has reached the closing port of the same run", false) {
+            crashedAgain(50.milliseconds)
+        },
         Case("copies that were answered between the crashes", false) {
             (1..3).forEach {
                 crashedOf(it, 250.milliseconds * it)
