--- a/core/src/test/kotlin/org/guavapath/core/quarantine/RepeatedRequestTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/quarantine/RepeatedRequestTest.kt
@@ -130,7 +130,7 @@
         },
     )
 
-    /** Adds crashes of two replicas, and one more of the second, listed as before, on what was sent [sentAfter] that. */
+    /** Adds crashes of two replicas, and one of the second, listed as before, on what was sent [sentAfter] that. */
     private fun CrashQuarantine.crashedAgain(sentAfter: Duration) {
         val sentAt = start + 2.seconds + sentAfter
         (1..2).forEach { crashed(it, 1.seconds * it) }
