--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashLedger.kt
@@ -20,8 +20,8 @@
     /** All reports that may still matter, oldest first. */
     val reports: Collection<CrashReport> get() = byId.values
 
-    /** Returns the number of trials of which the report like [report] knows, null if there is no such report. */
-    fun trialsOf(report: CrashReport): Int? = byId[report.id]?.trials
+    /** Returns what is known of the same request and incarnation as [report] is of, null if nothing is. */
+    operator fun get(report: CrashReport): CrashReport? = byId[report.id]
 
     operator fun contains(report: CrashReport): Boolean = report.id in byId
 
@@ -54,17 +54,20 @@
     /** Removes reports that are too old to matter at [now], but for those in [kept]; returns whether there were any. */
     fun expire(now: MonotonicTime, kept: Set<Pair<ReplicaIncarnation, RequestId>>): Boolean {
         val hasExpired = byId.values.removeIf { report ->
-            val retention = when {
-                report.isSettled -> SETTLED_RETENTION
-                report.id in kept -> LONGEST_RETENTION
-                else -> RETENTION
+            if (report.id in kept && !report.isSettled) {
+                now - report.at > LONGEST_RETENTION
+            } else {
+                isExpired(report, now)
             }
-            now - report.at > retention
         }
         if (hasExpired) derivedRows = null
         return hasExpired
     }
 
+    /** Returns whether [report] is too old to matter at [now], unless suspects are held for it. */
+    fun isExpired(report: CrashReport, now: MonotonicTime): Boolean =
+        now - report.at > if (report.isSettled) SETTLED_RETENTION else RETENTION
+
     /** Returns those [running] requests whose replicas have not ended by what is known and by [reports]. */
     private fun withoutEnded(
         running: Collection<RunningRequest>,
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashQuarantine.kt
@@ -48,8 +48,8 @@
     /** Reports on crashes for which suspects are held. */
     public val reportsOfHeld: List<CrashReport> get() = holds.flatMap { it.suspicion.row.reports }.distinctBy { it.id }
 
-    /** Returns whether a report on the same request and incarnation as [report] is known. */
-    public operator fun contains(report: CrashReport): Boolean = report in ledger
+    /** Returns what is known of the same request and incarnation as [report] is of, null if nothing is. */
+    public operator fun get(report: CrashReport): CrashReport? = ledger[report]
 
     /**
      * Records that a request with [suspects] that was sent at [sentAt] was answered completely at [now].
@@ -69,17 +69,20 @@
         now: MonotonicTime,
         running: Collection<RunningRequest> = emptyList(),
     ): List<CrashReport> {
-        val trialsBefore = reports.associate { it.id to ledger.trialsOf(it) }
+        val trialsBefore = reports.associate { it.id to ledger[it]?.trials }
         val changed = ledger.add(reports, now, running)
         if (changed.isEmpty()) return changed
         derivedHolds = null
-        val tried = changed.filter { report -> trialsBefore[report.id].let { it != null && report.trials > it } }
+        // VMs forget a report one after the other: as news to those that have, it would go round without end.
+        if (changed.any { ledger.isExpired(it, now) }) expire(now)
+        val remaining = changed.filter { it in ledger }
+        val tried = remaining.filter { report -> trialsBefore[report.id].let { it != null && report.trials > it } }
             .map { it.id }
         if (tried.isNotEmpty()) {
             holds.filter { hold -> tried.any { it in hold.suspicion.row.requests } }
                 .forEach { trialEnds[it.suspects] = now + TRIAL_TIMEOUT }
         }
-        return changed
+        return remaining
     }
 
     /** Returns whether a request with [suspects] may be sent at [now]. */
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashReport.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashReport.kt
@@ -43,6 +43,10 @@
     /** Whether no suspect is left. */
     internal val isSettled: Boolean get() = answeredSince.containsAll(suspects)
 
+    /** Returns this report with the times of [known], if any; those in the store rest on another VM's clock. */
+    public fun withTimesOf(known: CrashReport?): CrashReport =
+        if (known == null) this else copy(sentAt = known.sentAt, at = known.at)
+
     /** The earliest times are the best known: those that other VMs tell are late by the time on the way. */
     internal fun merge(other: CrashReport): CrashReport = copy(
         sentAt = minOf(sentAt, other.sentAt),
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
@@ -5,7 +5,7 @@
  * A suspect is held if its evidence suffices, unless others that are held explain each of its crashes. Suspects that
  * were answered before need more evidence, and so do all while many crashes have no explanation. A suspect is held
  * together with those that were in all the same requests, as nothing tells them apart: only requests with all of them
- * are refused.
+ * are refused. One crash holds nothing but repeats of a request.
  */
 package org.guavapath.core.quarantine
 
@@ -38,6 +38,7 @@
             val sufficient = likely.filter { it.weight >= minOf(MAX_WEIGHT, neededFor(it, likely, rows)) }
             val causes = withoutExplained(sufficient.filterNot { isWider(it, sufficient) })
             val together = causes.groupBy { cause -> inAllRequestsOf(cause, rows) }
+                .filter { (suspects, ofThem) -> ofThem.first().depth > 1 || suspects.any { it is RequestKey } }
             return together.map { (suspects, ofThem) ->
                 val others = (together - setOf(suspects)).values.flatten()
                 val row = ofThem.first()
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -45,7 +45,7 @@
     /** Reads the stored reports, publishes reports and forgets old ones. */
     suspend fun run(scope: CoroutineScope) {
         val addStored = { reports: List<CrashReport> ->
-            add(reports)
+            add(reports.map { it.withTimesOf(quarantine[it]) })
             quarantine.reportsOfHeld
         }
         scope.launch { stored.load { addStored(it) } }
@@ -120,7 +120,7 @@
     }
 
     private fun add(reports: List<CrashReport>): List<CrashReport> {
-        val unknown = reports.filter { it !in quarantine }
+        val unknown = reports.filter { quarantine[it] == null }
         val running = if (unknown.isEmpty()) emptyList() else running()
         val changed = quarantine.add(reports, MonotonicTime.now(), running)
         if (changed.isEmpty()) return changed
