--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -7,6 +7,7 @@
 import org.guavapath.core.placement.ScoredReplica
 import org.guavapath.core.placement.WeightsSource
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.pipeline.Refusal
 import org.guavapath.platform.wire.ReplicaInstructions
 import org.guavapath.platform.wire.ReplicaResponseHead
 import org.guavapath.platform.wire.ResponseCodec
@@ -19,6 +20,9 @@
     /** No byte reached the replica. */
     class NotSent(val reason: String) : AttemptEvent()
 
+    /** The request was not sent, as replicas crash on requests like it. */
+    class Held(val refusal: Refusal) : AttemptEvent()
+
     /** The replica states that it did not run the request. */
     class NotRun(val head: ReplicaResponseHead) : AttemptEvent()
 
@@ -28,8 +32,16 @@
     /** The next bytes of a successful response. */
     class BytesReceived(val bytes: ByteArray) : AttemptEvent()
 
-    /** The response is complete; [rejection] is the body of an unsuccessful one. */
-    class Complete(val head: ReplicaResponseHead, val response: ResponseHead, val rejection: ByteArray) : AttemptEvent()
+    /**
+     * The response is complete; [rejection] is the body of an unsuccessful one. Unless it [isFramed], it has ended with
+     * its connection.
+     */
+    class Complete(
+        val head: ReplicaResponseHead,
+        val response: ResponseHead,
+        val rejection: ByteArray,
+        val isFramed: Boolean,
+    ) : AttemptEvent()
 
     /** The response was cut off or invalid; the replica may have run the request. */
     class Failed(val reason: String) : AttemptEvent()
@@ -48,12 +60,15 @@
  * the response stalls for longer than a healthy replica mostly pauses; it goes on until it ends or is cancelled.
  *
  * @property part where the bytes of the response go
+ * @param holdNow returns how the request is refused if replicas crash on requests like it; asked once, right before the
+ *   request is sent
  */
 internal class Attempt(
     private val context: ExchangeContext,
     private val admitted: AdmittedRequest,
     val choice: ScoredReplica,
     val part: ResponsePart,
+    private val holdNow: () -> Refusal?,
     private val onEvent: (Attempt, AttemptEvent) -> Unit,
 ) : ReplicaResponseListener {
     private val record = choice.record
@@ -62,6 +77,7 @@
     private var call: PooledCall? = null
     private var hasEnded = false
     private var isKnownSilent = false
+    private var hold: Refusal? = null
 
     /** Notices when nothing arrives. */
     val silence = SilenceTimer(context.loop) {
@@ -79,6 +95,9 @@
     /** Whether it has neither ended nor been cancelled. */
     val isRunning: Boolean get() = !hasEnded
 
+    /** Whether a successful response has begun and goes on. */
+    val isResponding: Boolean get() = !hasEnded && head?.isRelayed == true && progress.firstBytesAt != null
+
     /** The local port of its connection, null if it was not handed to one. */
     val port: Int? get() = call?.port
 
@@ -99,7 +118,10 @@
         beginningTimer.start()
         val refusal = {
             val isLate = MonotonicTime.now() >= admitted.dueAt
-            if (isLate) "no time is left" else context.availability.refusal(record.entry)
+            val reason = if (isLate) "no time is left" else context.availability.refusal(record.entry)
+            // Asked last, as a trial then counts as sent.
+            if (reason == null) hold = holdNow()
+            reason ?: hold?.code?.label
         }
         val request = ReplicaRequest(
             record.entry,
@@ -129,7 +151,9 @@
     }
 
     override fun notSent(reason: String, isOwnDecision: Boolean) =
-        end(ReplicaOutcome.UNRESPONSIVE.takeIf { !isOwnDecision }) { onEvent(this, AttemptEvent.NotSent(reason)) }
+        end(ReplicaOutcome.UNRESPONSIVE.takeIf { !isOwnDecision }) {
+            onEvent(this, hold?.let { AttemptEvent.Held(it) } ?: AttemptEvent.NotSent(reason))
+        }
 
     override fun head(head: ReplicaResponseHead, headers: HttpHeaders) {
         if (hasEnded) return
@@ -168,14 +192,15 @@
     override fun complete() {
         val response = checkNotNull(head)
         val isStream = admitted.route.retryPolicy is RetryPolicy.Stream && response.isRelayed
-        if (isStream && progress.bodyBytes == 0L && !isFramed(headers)) {
+        val isFramed = isFramed(headers)
+        if (isStream && progress.bodyBytes == 0L && !isFramed) {
             // A stream that breaks off before its first event would otherwise pass for a complete one.
             return failed("the connection was closed before the first event")
         }
         val event = when {
             response.isNotRun -> AttemptEvent.NotRun(response)
             response.isSuccess && !response.isSigned -> AttemptEvent.Failed("a success without a signature")
-            else -> AttemptEvent.Complete(response, responseHead(response, headers), rejection.bytes())
+            else -> AttemptEvent.Complete(response, responseHead(response, headers), rejection.bytes(), isFramed)
         }
         val outcome = when {
             response.isNotRun -> null
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewayLog.kt
@@ -8,6 +8,7 @@
 import org.guavapath.core.identity.RequestId
 import org.guavapath.core.identity.WorkspaceName
 import org.guavapath.core.placement.PlacementResult
+import org.guavapath.core.quarantine.CrashReport
 import org.guavapath.core.quota.BucketReading
 import org.guavapath.core.throttling.PermitDecision
 import org.guavapath.core.throttling.RequestRate
@@ -113,7 +114,7 @@
     )
 
     /** Logs an attempt that ended with the crash of its replica. The line may follow the end of the request. */
-    fun cutOff(admitted: AdmittedRequest, cutOff: CutOffAttempt) {
+    fun cutOff(admitted: AdmittedRequest, cutOff: CutOffAttempt, report: CrashReport) {
         val attempt = cutOff.attempt
         val replica = attempt.choice.record.entry
         write(
@@ -130,6 +131,11 @@
             "sinceFirstBytesMs" to attempt.progress.firstBytesAt?.let { (cutOff.at - it).inWholeMilliseconds },
             "othersRunning" to cutOff.othersRunning,
             "promptTokens" to admitted.request.prompt?.promptTokens,
+            "parts" to admitted.request.prompt?.parts?.map { it.id },
+            "partKeys" to CrashReportCodec.partsIn(report.suspects),
+            "isStalled" to report.isStalled,
+            "answeredBefore" to report.answeredBefore.map { it.toString() },
+            "answeredSince" to report.answeredSince.map { it.toString() },
         )
     }
 
@@ -172,11 +178,29 @@
 /** The log and the metrics; both record the end of each request. */
 internal class GatewayTelemetry(val log: GatewayLog, val metrics: GatewayMetrics) {
     /** Records an attempt that ended with the crash of its replica. */
-    fun cutOff(admitted: AdmittedRequest, cutOff: CutOffAttempt) {
-        log.cutOff(admitted, cutOff)
+    fun cutOff(admitted: AdmittedRequest, cutOff: CutOffAttempt, report: CrashReport) {
+        log.cutOff(admitted, cutOff, report)
         metrics.cutOff(cutOff.attempt.progress)
     }
 
+    /** Records that no crash was found behind an attempt that was cut off. The line may follow the request's end. */
+    fun outlived(admitted: AdmittedRequest, cutOff: CutOffAttempt, survival: Survival) {
+        val attempt = cutOff.attempt
+        val replica = attempt.choice.record.entry
+        log.stateChange(
+            "replica outlived cut-off attempt",
+            "requestId" to admitted.request.id.text,
+            "replica" to replica.id.text,
+            "incarnation" to replica.startedAt,
+            "afterMs" to (cutOff.at - attempt.startedAt).inWholeMilliseconds,
+            "sinceCutOffMs" to (MonotonicTime.now() - cutOff.at).inWholeMilliseconds,
+            "connections" to survival.connections,
+            "isAccepting" to survival.isAccepting,
+            "isListed" to survival.isListed,
+            "isLeaving" to survival.isLeaving,
+        )
+    }
+
     /** Records a response of [replica] that belongs to another request than the pending one, or to none. */
     fun stray(replica: ReplicaId, stray: StrayResponse) {
         log.stateChange(
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -1,128 +1,147 @@
 package org.guavapath.daemon.gateway
 
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.guavapath.core.fleet.PromptShape
+import org.guavapath.core.fleet.ReplicaIncarnation
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.placement.ReplicaOutcome
 import org.guavapath.core.quarantine.CrashReport
-import org.guavapath.core.quarantine.PartKey
 import org.guavapath.core.quarantine.QuarantineVerdict
+import org.guavapath.core.quarantine.RequestKey
+import org.guavapath.core.quarantine.RunningRequest
+import org.guavapath.core.quarantine.Suspect
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.daemon.peers.PeerMessage
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Reports crashes that prompts may have caused and keeps the other gateways informed of them.
+ * Reports the requests that replicas had when they ended, and keeps requests with their causes away from replicas.
  *
- * Reports are repeated while they matter, so that gateways that were cut off receive them too. A gateway that starts
- * takes them from the store and from each gateway that it links with.
+ * A gateway that starts takes the reports from the store and from each gateway that it links with.
  */
 internal class QuarantineTask(
     private val fleet: FleetState,
-    private val peers: GatewayPeers,
+    peers: GatewayPeers,
     private val stored: StoredCrashReports,
-    private val log: GatewayLog,
+    log: GatewayLog,
 ) {
     private val quarantine get() = fleet.quarantine
-    private val updates = Channel<Unit>(Channel.CONFLATED)
-    private var logged = emptySet<Set<PartKey>>()
+    private val holdLog = HoldLog(quarantine, log)
 
-    /** Called when further parts are quarantined. */
-    var onQuarantined: () -> Unit = {}
+    /** The attempts that this gateway has given up, which their replicas may still run. */
+    val givenUp = GivenUpAttempts()
 
-    /** Reads the stored reports, and publishes reports when they have changed, and periodically. */
+    /** Informs the other gateways. */
+    val exchange = CrashReportExchange(quarantine, peers)
+
+    /** Called when further suspects are held. */
+    var onHeld: () -> Unit = {}
+
+    /** Returns the requests whose responses have begun and go on. */
+    var running: () -> List<RunningRequest> = { emptyList() }
+
+    /** Reads the stored reports, publishes reports and forgets old ones. */
     suspend fun run(scope: CoroutineScope) {
         val addStored = { reports: List<CrashReport> ->
-            add(reports)
-            quarantine.reports
+            add(reports.map { it.withTimesOf(quarantine[it]) })
+            quarantine.reportsOfHeld
         }
         scope.launch { stored.load { addStored(it) } }
         scope.launch { stored.keepSaved(addStored) }
-        scope.launch { stored.watchRestores { if (quarantine.quarantined.isNotEmpty()) stored.save() } }
-        scope.launch {
-            while (true) {
-                delay(REPEAT_INTERVAL)
-                quarantine.expire(MonotonicTime.now())
-                changed()
-            }
-        }
+        scope.launch { stored.watchRestores { if (quarantine.held.isNotEmpty()) stored.save() } }
+        scope.launch { exchange.run(scope) }
         while (true) {
-            updates.receive()
-            if (quarantine.reports.isNotEmpty()) peers.broadcast(message(isGreeting = false))
-            delay(MIN_INTERVAL)
+            delay(EXPIRY_INTERVAL)
+            quarantine.expire(MonotonicTime.now())
+            if (holdLog.update()) onHeld()
         }
     }
 
-    /** Returns whether a request with [prompt] may be sent to a replica; if as a trial, it counts as sent. */
-    fun admit(prompt: PromptShape): QuarantineVerdict {
-        if (quarantine.reports.isEmpty()) return QuarantineVerdict.Allowed
-        val now = MonotonicTime.now()
-        val parts = PartKey.sharedPartsOf(prompt)
-        val verdict = quarantine.verdict(parts, now)
+    /** Returns whether a request with [suspects] may be sent to a replica; if as a trial, it counts as sent. */
+    fun admit(suspects: Set<Suspect>): QuarantineVerdict {
+        val verdict = verdict(suspects)
         if (verdict == QuarantineVerdict.Trial) {
-            quarantine.trialStarted(parts, now)
-            log.stateChange("quarantine on trial", "parts" to parts.map(PartKey::toString))
-            changed()
+            changed(quarantine.trialStarted(suspects, MonotonicTime.now()))
+            holdLog.trial(suspects)
         }
         return verdict
     }
 
-    /** Returns whether a request with [prompt] that was sent already would not be sent any more. */
-    fun isQuarantined(prompt: PromptShape): Boolean =
-        quarantine.verdict(PartKey.sharedPartsOf(prompt), MonotonicTime.now()) is QuarantineVerdict.Quarantined
+    /** Returns whether a request with [suspects] may be sent to a replica. */
+    fun verdict(suspects: Set<Suspect>): QuarantineVerdict =
+        if (quarantine.reports.isEmpty()) {
+            QuarantineVerdict.Allowed
+        } else {
+            quarantine.verdict(suspects, MonotonicTime.now())
+        }
+
+    /** Returns how many times in a row replicas have crashed with one of [suspects]. */
+    fun crashesInARow(suspects: Set<Suspect>): Int = quarantine.crashesInARow(suspects)
 
-    /** Records that [prompt] was answered completely. */
-    fun answered(prompt: PromptShape) {
-        if (quarantine.answered(PartKey.sharedPartsOf(prompt), MonotonicTime.now())) changed()
-    }
+    /** Records that a request with [suspects] that was sent at [sentAt] was answered completely. */
+    fun answered(suspects: Set<Suspect>, sentAt: MonotonicTime) =
+        changed(quarantine.answered(suspects, sentAt, MonotonicTime.now()))
 
-    /** Adds a report of this gateway. */
-    fun report(report: CrashReport) {
-        add(listOf(report))
-        if (quarantine.quarantined.isNotEmpty()) stored.save()
+    /** Reports the attempts that were given up on [incarnation], which has ended although nothing was cut off. */
+    fun replicaLost(incarnation: ReplicaIncarnation) {
+        add(givenUp.reportsOf(incarnation, MonotonicTime.now()))
     }
 
-    /** Sends what is known here to [peer], which answers with what it knows. */
-    fun linked(peer: VmId) = peers.send(peer, message(isGreeting = true))
+    /** Adds a report of this gateway; returns it as merged. */
+    fun report(report: CrashReport): CrashReport {
+        val merged = add(listOf(report)).firstOrNull { it.id == report.id } ?: report
+        if (quarantine.held.isNotEmpty()) stored.save()
+        return merged
+    }
 
     /** Applies the reports of [from]. */
-    fun received(from: VmId, message: PeerMessage.PromptCrashes) {
+    fun received(from: VmId, message: PeerMessage.OfCrashes) {
         val now = MonotonicTime.now()
-        add(message.reports.map { CrashReportCodec.decode(it, now) })
-        if (message.isGreeting && quarantine.reports.isNotEmpty()) peers.send(from, message(isGreeting = false))
+        val isGreeting = when (message) {
+            is PeerMessage.CrashReports -> {
+                add(message.reports.map { CrashReportCodec.decode(it, now) })
+                message.isGreeting
+            }
+            is PeerMessage.PromptCrashes -> {
+                add(message.reports.map { CrashReportCodec.decode(it, now) })
+                message.isGreeting
+            }
+            is PeerMessage.RequestCrashes -> {
+                add(message.crashes.map { CrashReportCodec.decode(it, now) })
+                message.answeredAgo.forEach { (key, ago) ->
+                    changed(quarantine.answered(setOf(RequestKey(key)), now + (-ago).milliseconds, now))
+                }
+                message.isGreeting
+            }
+        }
+        if (isGreeting) exchange.greeted(from)
     }
 
-    private fun add(reports: List<CrashReport>) {
-        val unknown = reports.filter { it !in quarantine }
-        if (!quarantine.add(reports, MonotonicTime.now())) return
+    private fun add(reports: List<CrashReport>): List<CrashReport> {
+        val unknown = reports.filter { quarantine[it] == null }
+        val running = if (unknown.isEmpty()) emptyList() else running()
+        val changed = quarantine.add(reports, MonotonicTime.now(), running)
+        if (changed.isEmpty()) return changed
+        val crashed = unknown.distinctBy { it.incarnation }
         // A crashed replica stays listed for a few seconds.
-        unknown.mapNotNull { crash -> fleet.replicas[crash.replica]?.takeIf { it.entry.startedAt == crash.startedAt } }
+        crashed.mapNotNull { fleet.replicas[it.incarnation.id] }
+            .filter { replica -> crashed.any { it.incarnation == replica.entry.incarnation } }
             .forEach { it.health.observe(ReplicaOutcome.UNRESPONSIVE, MonotonicTime.now()) }
-        changed()
-    }
-
-    /** Logs and publishes what has changed in the fleet's quarantine. */
-    fun changed() {
-        val current = quarantine.quarantined
-        val added = current - logged
-        added.forEach { log.stateChange("quarantine begun", "parts" to it.map(PartKey::toString)) }
-        (logged - current).forEach { log.stateChange("quarantine ended", "parts" to it.map(PartKey::toString)) }
-        logged = current
-        if (added.isNotEmpty()) onQuarantined()
-        updates.trySend(Unit)
+        changed(changed)
+        val further = crashed.flatMap { givenUp.reportsOf(it.incarnation, it.at) }
+        if (further.isNotEmpty()) add(further)
+        return changed
     }
 
-    private fun message(isGreeting: Boolean): PeerMessage.PromptCrashes {
-        val now = MonotonicTime.now()
-        return PeerMessage.PromptCrashes(quarantine.reports.map { CrashReportCodec.encode(it, now) }, isGreeting)
+    private fun changed(reports: List<CrashReport>) {
+        if (reports.isEmpty()) return
+        exchange.publish(reports)
+        if (holdLog.update()) onHeld()
     }
 
     private companion object {
-        val MIN_INTERVAL = 10.milliseconds
-        val REPEAT_INTERVAL = 1.seconds
+        val EXPIRY_INTERVAL = 1.seconds
     }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaProbes.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaProbes.kt
@@ -14,13 +14,29 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/**
+ * What an examination saw of a replica that does not seem to have ended.
+ *
+ * @property connections connections that were tried
+ * @property isAccepting whether the last one was accepted; it timed out otherwise
+ * @property isListed whether it is listed as it was
+ * @property isLeaving whether it leaves in order, so that the list says nothing
+ */
+internal class Survival(
+    val connections: Int,
+    val isAccepting: Boolean,
+    val isListed: Boolean,
+    val isLeaving: Boolean,
+)
+
 /**
  * Finds out whether replicas whose connections have closed have ended; confined to one event loop.
  *
  * An accepted connection does not show that a replica lives: a listening socket that is closed while a thread waits for
  * connections accepts them until that thread runs again, and may even hand one over. Further connections are therefore
- * tried for a while. A replica that refuses one has ended, and so has one whose next incarnation is listed. One whose
- * connections only time out may be alive.
+ * tried for a while. A replica that refuses one has ended. One whose connections only time out may be alive.
+ *
+ * Where the next replica starts at the same address at once, all connections are accepted, and only the list shows it.
  */
 internal class ReplicaProbes(
     private val loop: EventLoop,
@@ -32,21 +48,60 @@
     /**
      * Examines [replica], one of whose connections has closed.
      *
-     * @param onEnded called if the replica has ended, at the latest [WATCH_TIME] later
+     * @param onEnded called if the replica has ended, at the latest [LISTING_TIME] later
      * @param onSettled called once: after [onEnded], or when the replica has lived on for [settlingTime]
+     * @param onOutlived called in place of [onEnded] if no end has shown by then
      */
     fun examine(
         replica: Replica,
         onEnded: () -> Unit,
         onSettled: () -> Unit,
         settlingTime: Duration = SETTLING_TIME,
-    ) {
-        val probe = probes.getOrPut(replica.incarnation) { Probe(replica) }
-        probe.add(Inquiry(onEnded, onSettled, settlingTime))
+        onOutlived: (Survival) -> Unit = {},
+    ) = probeOf(replica).add(Inquiry(onEnded, onSettled, onOutlived, Pace(settlingTime, LISTING_TIME)))
+
+    /** Watches [replica], whose connection was closed here, and calls [onEnded] if it ends within [WATCH_TIME]. */
+    fun watch(replica: Replica, onEnded: () -> Unit) =
+        probeOf(replica).add(Inquiry(onEnded, onSettled = {}, onOutlived = {}, Pace(SETTLING_TIME, WATCH_TIME)))
+
+    /**
+     * Examines [replica], which has ended a response by closing its connection, with few connections. An end that
+     * shows later is not one of that response, which was most likely whole.
+     *
+     * @param onEnded called if the replica has ended
+     * @param onAlive called in place of [onEnded] if the replica is still reached [CONFIRMATION_TIME] later; neither is
+     *   called if it has ended in between
+     */
+    fun confirm(replica: Replica, onEnded: () -> Unit, onAlive: () -> Unit) {
+        val onOutlived: (Survival) -> Unit = { if (it.isAccepting) onAlive() }
+        val pace = Pace(SETTLING_TIME, CONFIRMATION_TIME, QUIET_PAUSE, TIME_TO_REFUSE)
+        probeOf(replica).add(Inquiry(onEnded, onSettled = {}, onOutlived, pace))
     }
 
-    private class Inquiry(val onEnded: () -> Unit, private val onSettled: () -> Unit, val settlingTime: Duration) {
+    private fun probeOf(replica: Replica) = probes.getOrPut(replica.incarnation) { Probe(replica) }
+
+    /**
+     * How an inquiry goes on.
+     *
+     * @property firstPause time between the first connections
+     * @property attribution time within which a connection must be refused if the replica is to have ended when that of
+     *   the request closed
+     */
+    private class Pace(
+        val settlingTime: Duration,
+        val duration: Duration,
+        val firstPause: Duration = FIRST_PAUSE,
+        val attribution: Duration = WATCH_TIME,
+    )
+
+    private class Inquiry(
+        val onEnded: () -> Unit,
+        private val onSettled: () -> Unit,
+        val onOutlived: (Survival) -> Unit,
+        val pace: Pace,
+    ) {
         private var isSettled = false
+        val startedAt = MonotonicTime.now()
 
         fun settle() {
             if (isSettled) return
@@ -58,28 +113,39 @@
     /** The examination of one incarnation for all requests that it has cut off. */
     private inner class Probe(private val replica: Replica) {
         private val inquiries = ArrayList<Inquiry>()
-        private var watchUntil = MonotonicTime.ZERO
+        private val list = ListedEnd(replica, listed)
+        private var connectUntil = MonotonicTime.ZERO
         private var connectedAt: MonotonicTime? = null
+        private var wasAccepted = false
         private var series = 0
+        private var connections = 0
+
+        init {
+            after(LIST_INTERVAL) { watchList() }
+        }
 
         fun add(inquiry: Inquiry) {
             val now = MonotonicTime.now()
             inquiries += inquiry
-            watchUntil = now + WATCH_TIME
-            after(inquiry.settlingTime) { inquiry.settle() }
-            after(WATCH_TIME) { endIfOver() }
-            if (connectedAt.let { it == null || now - it > FIRST_PAUSE }) connect(++series, FIRST_PAUSE)
+            connectUntil = now + WATCH_TIME
+            after(inquiry.pace.settlingTime) { inquiry.settle() }
+            after(inquiry.pace.duration) { outlived(listOf(inquiry)) }
+            val pause = inquiry.pace.firstPause
+            if (connectedAt.let { it == null || now - it > pause }) connect(++series, pause)
         }
 
         /** Tries a connection, and further ones after [pause] unless another series has begun. */
         private fun connect(number: Int, pause: Duration) {
-            if (isOver || number != series) return
-            if (isReplaced) return end(hasEnded = true)
-            connectedAt = MonotonicTime.now()
+            val now = MonotonicTime.now()
+            if (isOver || number != series || now >= connectUntil) return
+            if (list.showsEnd(wasAccepted)) return ended(inquiries)
+            connectedAt = now
+            connections += 1
             pool.connectForProbe(replica).addListener(
                 ChannelFutureListener { attempt ->
                     attempt.channel().close()
-                    if (isRefused(attempt)) end(hasEnded = true) else after(pause) { connect(number, pause * 2) }
+                    wasAccepted = attempt.isSuccess
+                    if (isRefused(attempt)) refused() else after(pause) { connect(number, pause * 2) }
                 },
             )
         }
@@ -87,19 +153,37 @@
         private fun isRefused(attempt: ChannelFuture) =
             attempt.cause().let { it is ConnectException && it !is ConnectTimeoutException }
 
-        private fun endIfOver() {
-            if (MonotonicTime.now() >= watchUntil) end(hasEnded = isReplaced)
+        /** The replica has ended, but after the requests that it has outlived. */
+        private fun refused() {
+            val now = MonotonicTime.now()
+            val (earlier, current) = inquiries.partition { now - it.startedAt > it.pace.attribution }
+            outlived(earlier)
+            ended(current)
+        }
+
+        private fun watchList() {
+            if (isOver) return
+            if (list.showsEnd(wasAccepted)) ended(inquiries) else after(LIST_INTERVAL) { watchList() }
         }
 
-        private fun end(hasEnded: Boolean) {
+        private fun ended(cutOff: List<Inquiry>) {
             if (isOver) return
             probes.remove(replica.incarnation)
-            if (hasEnded) inquiries.forEach { it.onEnded() }
-            inquiries.forEach { it.settle() }
+            cutOff.forEach { it.onEnded() }
+            cutOff.forEach { it.settle() }
+        }
+
+        private fun outlived(those: List<Inquiry>) {
+            if (isOver || !inquiries.removeAll(those)) return
+            if (inquiries.isEmpty()) probes.remove(replica.incarnation)
+            val survival = Survival(connections, wasAccepted, list.isListed, list.isLeaving)
+            those.forEach {
+                it.settle()
+                it.onOutlived(survival)
+            }
         }
 
         private val isOver get() = probes[replica.incarnation] !== this
-        private val isReplaced get() = listed[replica.id]?.let { it.entry.startedAt > replica.startedAt } ?: false
 
         private fun after(delay: Duration, task: () -> Unit) {
             loop.schedule(task, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
@@ -113,7 +197,20 @@
         /** An end that shows after the request was sent again still matters to repeats of it. */
         val WATCH_TIME = 1.seconds
 
+        /** The entry of a replica that has ended expires within 5 s, and the list may be as late. */
+        val LISTING_TIME = 10.seconds
+
+        private val LIST_INTERVAL = 100.milliseconds
+
         /** Doubled with each connection. */
         private val FIRST_PAUSE = 10.milliseconds
+
+        private val QUIET_PAUSE = 50.milliseconds
+
+        /** Covers the first two connections; most replicas that run on and end later have not ended by then. */
+        private val TIME_TO_REFUSE = 100.milliseconds
+
+        /** The port of a replica that has ended may accept connections for 250 ms. */
+        val CONFIRMATION_TIME = 300.milliseconds
     }
 }
