--- a/core/src/main/kotlin/org/guavapath/core/fleet/Replica.kt
+++ b/core/src/main/kotlin/org/guavapath/core/fleet/Replica.kt
@@ -17,6 +17,16 @@
     override fun toString(): String = text
 }
 
+/**
+ * Version of the software that a replica runs. Versions have no order.
+ *
+ * @property text the version
+ */
+@JvmInline
+public value class SoftwareVersion(public val text: String) {
+    override fun toString(): String = text
+}
+
 /**
  * Number of a model's weights; a later number replaces an earlier one.
  *
@@ -49,6 +59,7 @@
  * @property isDraining whether it accepts no new requests
  * @property warmUpLeft remaining time in which it is slow after its start
  * @property weights loaded weights by model
+ * @property software version of its software, null if not listed
  */
 public data class Replica(
     public val id: ReplicaId,
@@ -60,6 +71,7 @@
     public val isDraining: Boolean,
     public val warmUpLeft: Duration,
     public val weights: Map<ModelName, WeightsNumber>,
+    public val software: SoftwareVersion? = null,
 ) {
     /** This run of the replica. */
     public val incarnation: ReplicaIncarnation get() = ReplicaIncarnation(id, startedAt)
