--- a/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
+++ b/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
@@ -56,8 +56,16 @@
  * @property name name within its kind
  * @property revision revision of its last change
  * @property value content of the object
+ * @property status what the system says of the object, null if nothing
+ * @property createdAt revision number at which the object was created, 0 if not known
  */
-public data class StoredObject(public val name: String, public val revision: Revision, public val value: JsonElement)
+public data class StoredObject(
+    public val name: String,
+    public val revision: Revision,
+    public val value: JsonElement,
+    public val status: JsonElement? = null,
+    public val createdAt: Long = 0,
+)
 
 /**
  * A consistent snapshot of all objects of a kind.
@@ -137,6 +145,14 @@
         condition: Revision,
     ): Result<StoredObject, StoreError>
 
+    /** Replaces the status of an object, and nothing else, if the revision of its last change is [condition]. */
+    public suspend fun replaceStatus(
+        kind: ObjectKind,
+        name: String,
+        status: JsonElement,
+        condition: Revision,
+    ): Result<StoredObject, StoreError>
+
     /** Removes an object if the revision of its last change is [condition]. */
     public suspend fun remove(kind: ObjectKind, name: String, condition: Revision): Result<Unit, StoreError>
 }
--- a/core/src/main/kotlin/org/guavapath/core/versions/VersionOrder.kt
+++ b/core/src/main/kotlin/org/guavapath/core/versions/VersionOrder.kt
@@ -4,6 +4,7 @@
 import org.guavapath.core.fleet.ServiceName
 import org.guavapath.core.fleet.SoftwareVersion
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * An operator's order to move a service to another version.
@@ -34,6 +35,12 @@
 ) {
     /** Returns how many requests the target may get after the service has had [requests]. */
     public fun allowed(requests: Long): Long = (share * requests).toLong() + slack
+
+    /** Holds the bounds of deployments that state none. */
+    public companion object {
+        /** Time within which a version that is found to be bad gets no more requests. */
+        public val DEFAULT_STOP_TIME: Duration = 5.seconds
+    }
 }
 
 /** How far the move to a version has come. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/EraTrackingStore.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/EraTrackingStore.kt
@@ -74,6 +74,15 @@
         condition: Revision,
     ): Result<StoredObject, StoreError> = tracked({ store.replace(kind, name, value, condition) }) { it.revision }
 
+    override suspend fun replaceStatus(
+        kind: ObjectKind,
+        name: String,
+        status: JsonElement,
+        condition: Revision,
+    ): Result<StoredObject, StoreError> = tracked(
+        { store.replaceStatus(kind, name, status, condition) }
+    ) { it.revision }
+
     override suspend fun remove(kind: ObjectKind, name: String, condition: Revision): Result<Unit, StoreError> =
         tracked({ store.remove(kind, name, condition) }) { null }
 
@@ -92,20 +101,18 @@
         }
         return result.onSuccess { value ->
             backOff.succeeded()
-            revisionOf(value)?.let { seen(it) }
+            revisionOf(value)?.let { update(it.era, "revision" to it.number) }
         }.onFailure { error ->
             when (error) {
                 is StoreError.Refused, is StoreError.Unknown -> backOff.failed(calledAt, error)
                 is StoreError.Conflict -> {
                     backOff.succeeded()
-                    error.present?.let { seen(it.revision) }
+                    error.present?.let { update(it.revision.era, "revision" to it.revision.number) }
                 }
             }
         }
     }
 
-    private fun seen(revision: Revision) = update(revision.era, "revision" to revision.number)
-
     private fun update(era: StoreEra, source: Pair<String, Any>) {
         val before = newest.value
         if (era <= before) return
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewaySettings.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/GatewaySettings.kt
@@ -12,6 +12,7 @@
 import org.guavapath.core.schema.Schema
 import org.guavapath.core.schema.SchemaFault
 import org.guavapath.core.schema.record
+import org.guavapath.core.versions.ExposureBounds
 import org.guavapath.core.weights.ReplacedWeightsPolicy
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -53,6 +54,10 @@
  * @property replacedWeightsMilliseconds time after which no request may begin on weights that were replaced
  * @property areOrdersFenced whether replicas reject orders with a lower fencing token than they have seen
  * @property startupGraceMilliseconds time after its start in which a gateway is not held to that
+ * @property exposureShare part of a service's requests that an unproven version may get; null if services are not moved
+ *   to other versions
+ * @property exposureSlack requests that it may get beyond that
+ * @property rollBackMilliseconds time within which a version that is found to be bad gets no more requests
  */
 @Serializable
 internal data class GatewaySettings(
@@ -74,6 +79,9 @@
     val replacedWeightsMilliseconds: Long = ReplacedWeightsPolicy.DEFAULT_BOUND.inWholeMilliseconds,
     val areOrdersFenced: Boolean = false,
     val startupGraceMilliseconds: Long = ReplacedWeightsPolicy.DEFAULT_STARTUP_GRACE.inWholeMilliseconds,
+    val exposureShare: Double? = null,
+    val exposureSlack: Int = 0,
+    val rollBackMilliseconds: Long = ExposureBounds.DEFAULT_STOP_TIME.inWholeMilliseconds,
 ) {
     val drainTimeout: Duration get() = drainMilliseconds.milliseconds
     val usableProcessors: Double get() = processors * processorShare
@@ -81,6 +89,10 @@
     val replacedWeights: ReplacedWeightsPolicy
         get() = ReplacedWeightsPolicy(replacedWeightsMilliseconds.milliseconds, startupGraceMilliseconds.milliseconds)
 
+    /** Bounds on what a version may get that has not proven good, null if services are not moved to other versions. */
+    val exposure: ExposureBounds?
+        get() = exposureShare?.let { ExposureBounds(it, exposureSlack, rollBackMilliseconds.milliseconds) }
+
     companion object {
         private val name = Schema.Text(
             Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}"),
@@ -111,6 +123,9 @@
             optional("replacedWeightsMilliseconds", Schema.WholeNumber(MIN_WEIGHTS_BOUND, MAX_NUMBER))
             optional("areOrdersFenced", Schema.BooleanValue)
             optional("startupGraceMilliseconds", count)
+            optional("exposureShare", Schema.Number(0.0, 1.0))
+            optional("exposureSlack", count)
+            optional("rollBackMilliseconds", count)
         }
 
         /** Parses the settings in [text]; the error lists every fault. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Rehearsal.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Rehearsal.kt
@@ -161,6 +161,13 @@
         condition: Revision,
     ): Result<StoredObject, StoreError> = refused()
 
+    override suspend fun replaceStatus(
+        kind: ObjectKind,
+        name: String,
+        status: JsonElement,
+        condition: Revision,
+    ): Result<StoredObject, StoreError> = refused()
+
     override suspend fun remove(kind: ObjectKind, name: String, condition: Revision): Result<Unit, StoreError> =
         refused()
 
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewaySettingsTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/GatewaySettingsTest.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
+import org.guavapath.core.versions.ExposureBounds
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
@@ -26,6 +27,22 @@
         Case(""", "replacedWeightsMilliseconds": 500""", null),
     )
 
+    /** Guards against a feature that is on where the installation states no bounds for it, or has other bounds. */
+    @Test
+    fun servicesMoveToOtherVersionsOnlyWithinStatedBounds() {
+        val all = """, "exposureShare": 0.1, "exposureSlack": 50, "rollBackMilliseconds": 4000"""
+        val cases = listOf(
+            "" to null,
+            """, "exposureSlack": 50""" to null,
+            """, "exposureShare": 0.2""" to ExposureBounds(0.2, 0, 5.seconds),
+            all to ExposureBounds(0.1, 50, 4.seconds),
+        )
+        cases.forEach { (more, expected) ->
+            assertEquals(expected, assertNotNull(settings(more).get(), more).exposure, more)
+        }
+        assertNotNull(settings(""", "exposureShare": 1.5""").getError())
+    }
+
     /** Guards against a bound that is that of other installations. */
     @Test
     fun theBoundOnReplacedWeightsIsThatOfTheInstallation() = cases.forEach { case ->
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/LoadingFleet.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/LoadingFleet.kt
@@ -68,6 +68,15 @@
     override suspend fun replace(kind: ObjectKind, name: String, value: JsonElement, condition: Revision) =
         called { written(kind, name, value, condition) }
 
+    override suspend fun replaceStatus(kind: ObjectKind, name: String, status: JsonElement, condition: Revision) =
+        called {
+            synchronized(shared) {
+                val present = shared.list(kind).objects[name]
+                val written = if (present?.revision == condition) shared.writeStatus(kind, name, status) else null
+                if (written == null) Err(StoreError.Conflict(present)) else Ok(written)
+            }
+        }
+
     override suspend fun remove(kind: ObjectKind, name: String, condition: Revision) =
         called { store.remove(kind, name, condition) }
 
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/MemoryStore.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/MemoryStore.kt
@@ -57,7 +57,18 @@
     @Synchronized
     fun write(kind: ObjectKind, name: String, value: JsonElement?): StoredObject? {
         val revision = Revision(log.size + 1L, era)
-        val stored = value?.let { StoredObject(name, revision, it) }
+        val present = list(kind).objects[name]
+        val stored =
+            value?.let { StoredObject(name, revision, it, present?.status, present?.createdAt ?: revision.number) }
+        log.add(Entry(kind, Change(name, revision, stored)))
+        return stored
+    }
+
+    /** Replaces the status of an object; null if there is none. */
+    @Synchronized
+    fun writeStatus(kind: ObjectKind, name: String, status: JsonElement): StoredObject? {
+        val revision = Revision(log.size + 1L, era)
+        val stored = list(kind).objects[name]?.copy(revision = revision, status = status) ?: return null
         log.add(Entry(kind, Change(name, revision, stored)))
         return stored
     }
@@ -123,6 +134,13 @@
         condition: Revision,
     ): Result<StoredObject, StoreError> = written { store.write(kind, name, value) }
 
+    override suspend fun replaceStatus(
+        kind: ObjectKind,
+        name: String,
+        status: JsonElement,
+        condition: Revision,
+    ): Result<StoredObject, StoreError> = written { store.writeStatus(kind, name, status) }
+
     override suspend fun remove(kind: ObjectKind, name: String, condition: Revision): Result<Unit, StoreError> {
         if (store.isDown) return DOWN
         store.write(kind, name, value = null)
--- a/standins/src/main/kotlin/org/guavapath/standins/platform/ObjectStore.kt
+++ b/standins/src/main/kotlin/org/guavapath/standins/platform/ObjectStore.kt
@@ -1,6 +1,7 @@
 package org.guavapath.standins.platform
 
 import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
@@ -8,7 +9,13 @@
 private const val MAX_HISTORY_CHANGES = 2_000
 
 /** A stored object with the revisions of its last change and of its creation. */
-internal class StandInObject(val name: String, val value: JsonElement, val revision: Long, val createdRevision: Long)
+internal class StandInObject(
+    val name: String,
+    val value: JsonElement,
+    val revision: Long,
+    val createdRevision: Long,
+    val status: JsonElement = JsonNull,
+)
 
 /**
  * One change in the history of the store.
@@ -51,14 +58,24 @@
         if (current != null) WriteResult.Conflict(current) else put(kind, name, value, createdRevision = null)
     }
 
-    /** Replaces an object if its revision is [expectedRevision] (null for any); an equal value is not a change. */
-    fun replace(kind: String, name: String, value: JsonElement, expectedRevision: Long?): WriteResult = lock.withLock {
+    /**
+     * Replaces the value or status of an object, null to keep it, if its revision is [expectedRevision] (null for any);
+     * equal ones are not a change.
+     */
+    fun replace(
+        kind: String,
+        name: String,
+        expectedRevision: Long?,
+        value: JsonElement? = null,
+        status: JsonElement? = null,
+    ): WriteResult = lock.withLock {
         val current = read(kind, name)
         when {
             current == null -> WriteResult.Missing
             expectedRevision != null && current.revision != expectedRevision -> WriteResult.Conflict(current)
-            current.value == value -> WriteResult.Written(current)
-            else -> put(kind, name, value, current.createdRevision)
+            (value ?: current.value) == current.value && (status ?: current.status) == current.status ->
+                WriteResult.Written(current)
+            else -> put(kind, name, value ?: current.value, current.createdRevision, status ?: current.status)
         }
     }
 
@@ -96,9 +113,15 @@
     private fun changesAfter(kind: String, after: Long) =
         history.filter { it.kind == kind && it.snapshot.revision > after }
 
-    private fun put(kind: String, name: String, value: JsonElement, createdRevision: Long?): WriteResult {
+    private fun put(
+        kind: String,
+        name: String,
+        value: JsonElement,
+        createdRevision: Long?,
+        status: JsonElement = JsonNull,
+    ): WriteResult {
         revision += 1
-        val next = StandInObject(name, value, revision, createdRevision ?: revision)
+        val next = StandInObject(name, value, revision, createdRevision ?: revision, status)
         objects.getOrPut(kind) { java.util.TreeMap() }[name] = next
         record(StandInChange(kind, next, isRemoved = false))
         return WriteResult.Written(next)
--- a/standins/src/main/kotlin/org/guavapath/standins/platform/PlatformStandIn.kt
+++ b/standins/src/main/kotlin/org/guavapath/standins/platform/PlatformStandIn.kt
@@ -1,8 +1,9 @@
 /**
  * Stand-in for the platform store: objects by kind and name, with revisions, conditional writes and watches.
  *
- * Store API: `GET|POST /objects/KIND`, `GET|PUT|DELETE /objects/KIND/NAME`. For tests: `PUT /faults`,
- * `POST /standin/forget` (drops the history) and `GET /standin/calls` (number of calls to the store API).
+ * Store API: `GET|POST /objects/KIND`, `GET|PUT|DELETE /objects/KIND/NAME`, `PUT /objects/KIND/NAME/status`. For
+ * tests: `PUT /faults`, `POST /standin/forget` (drops the history) and `GET /standin/calls` (number of calls to the
+ * store API).
  */
 package org.guavapath.standins.platform
 
@@ -64,7 +65,8 @@
         get("/objects/{kind}") { if (it.queryParam("watch") == null) list(it) else watch(it) }
         post("/objects/{kind}") { create(it) }
         get("/objects/{kind}/{name}") { read(it) }
-        put("/objects/{kind}/{name}") { replace(it) }
+        put("/objects/{kind}/{name}") { replace(it, isStatus = false) }
+        put("/objects/{kind}/{name}/status") { replace(it, isStatus = true) }
         delete("/objects/{kind}/{name}") { remove(it) }
         put("/faults") { faults = Json.decodeFromString(PlatformFaults.serializer(), it.body()) }
         post("/standin/forget") { store.compactHistory() }
@@ -123,9 +125,16 @@
         store.create(context.pathParam("kind"), name, body["spec"] ?: JsonNull)
     }
 
-    private fun replace(context: Context) = handleWrite(context) { body ->
+    private fun replace(context: Context, isStatus: Boolean) = handleWrite(context) { body ->
         val expectedRevision = body["metadata"]?.jsonObject?.get("revision")?.jsonPrimitive?.long
-        store.replace(context.pathParam("kind"), context.pathParam("name"), body["spec"] ?: JsonNull, expectedRevision)
+        val content = body[if (isStatus) "status" else "spec"] ?: JsonNull
+        store.replace(
+            context.pathParam("kind"),
+            context.pathParam("name"),
+            expectedRevision,
+            value = content.takeIf { !isStatus },
+            status = content.takeIf { isStatus },
+        )
     }
 
     private fun remove(context: Context) = respond(
@@ -174,7 +183,7 @@
         put("deleting", false)
     }
     put("spec", target.value)
-    put("status", JsonNull)
+    put("status", target.status)
 }
 
 private fun jsonOf(change: StandInChange): JsonObject = buildJsonObject {
