--- a/core/src/main/kotlin/org/guavapath/core/versions/GatewayRuns.kt
+++ b/core/src/main/kotlin/org/guavapath/core/versions/GatewayRuns.kt
@@ -3,6 +3,7 @@
 import org.guavapath.core.identity.Incarnation
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.time.MonotonicTime
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
@@ -40,10 +41,10 @@
     }
 
     /** Whether the run has no requests on old replicas and sends none there for a while, whatever messages took. */
-    fun hasMoved(now: MonotonicTime): Boolean {
+    fun hasMoved(now: MonotonicTime, moveValidity: Duration): Boolean {
         val restsOnReportSentAt = heardGrant?.answersNotBefore ?: return false
         return report.phase == VersionPhase.Move && report.runningOnOld == 0 &&
-            now - restsOnReportSentAt <= GatewayShare.MOVE_VALIDITY - OUTCOME_TIME
+            now - restsOnReportSentAt <= moveValidity - OUTCOME_TIME
     }
 
     private val heardGrant get() = if (report.token == token) sentGrants[report.heard] else null
@@ -74,7 +75,7 @@
 }
 
 /** What the order-giver knows of all gateways. Former runs of a gateway count on, as what they sent was sent. */
-internal class GatewayRuns(private val token: Long) {
+internal class GatewayRuns(private val token: Long, private val bounds: ExposureBounds) {
     private val runs = HashMap<Pair<VmId, Incarnation>, GatewayRun>()
 
     private var knownAnswers: AnswerCounts? = null
@@ -105,7 +106,7 @@
      */
     fun areMoved(now: MonotonicTime, gateways: Set<VmId>, isOver: Boolean): Boolean {
         val known = newest
-        val left = gateways.filter { known[it]?.hasMoved(now) != true }
+        val left = gateways.filter { known[it]?.hasMoved(now, bounds.moveValidity) != true }
         val silent = left.count { vm -> known[vm].let { it == null || now - it.heardAt > SILENCE } }
         return left.isEmpty() || (isOver && silent == left.size && 2 * silent < gateways.size)
     }
--- a/core/src/main/kotlin/org/guavapath/core/versions/GatewayShare.kt
+++ b/core/src/main/kotlin/org/guavapath/core/versions/GatewayShare.kt
@@ -4,7 +4,6 @@
 import org.guavapath.core.identity.Incarnation
 import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Replicas of which versions a request may be sent to. */
@@ -30,6 +29,7 @@
 public class GatewayShare(
     public val order: VersionOrder,
     private val incarnation: Incarnation,
+    private val bounds: ExposureBounds,
     learnedAt: MonotonicTime,
     progress: VersionProgress? = null,
 ) {
@@ -70,8 +70,8 @@
     /** Decides where a request of [route] is sent at [now]; what is sent to the target is taken from the grant. */
     public fun choose(route: RouteName, now: MonotonicTime): VersionChoice {
         val isAllowed = when (phase) {
-            VersionPhase.Trial -> heardAgo(now) < VALIDITY && isNextForTarget(route)
-            VersionPhase.Move -> heardAgo(now) < MOVE_VALIDITY
+            VersionPhase.Trial -> heardAgo(now) < bounds.trialValidity && isNextForTarget(route)
+            VersionPhase.Move -> heardAgo(now) < bounds.moveValidity
             VersionPhase.Done -> true
             is VersionPhase.RolledBack -> false
         }
@@ -131,7 +131,7 @@
     public fun report(runningOnOld: Int, now: MonotonicTime): VersionReport {
         reports += 1
         reportTimes[reports] = now
-        reportTimes.entries.removeIf { now - it.value > MOVE_VALIDITY }
+        reportTimes.entries.removeIf { now - it.value > bounds.moveValidity }
         accounts.values.filter { now - it.changedAt > KEEP_TIME }.forEach { it.returned += it.left }
         return VersionReport(
             order,
@@ -158,15 +158,8 @@
 
     private fun account(route: RouteName) = accounts.getOrPut(route) { Account() }
 
-    /** Holds how long grants are valid. */
-    public companion object {
-        /** Several intervals at which grants are renewed. */
-        public val VALIDITY: Duration = 1500.milliseconds
-
-        /** The same in the move; shorter than a bad version may get requests after it is found out. */
-        public val MOVE_VALIDITY: Duration = 3500.milliseconds
-
+    private companion object {
         /** What has not been used by then is of more use to another gateway. */
-        private val KEEP_TIME: Duration = 1.seconds
+        val KEEP_TIME: Duration = 1.seconds
     }
 }
--- a/core/src/main/kotlin/org/guavapath/core/versions/VersionOrder.kt
+++ b/core/src/main/kotlin/org/guavapath/core/versions/VersionOrder.kt
@@ -36,8 +36,17 @@
     /** Returns how many requests the target may get after the service has had [requests]. */
     public fun allowed(requests: Long): Long = (share * requests).toLong() + slack
 
+    /** How long a grant is valid in the trial; several intervals at which grants are renewed. */
+    public val trialValidity: Duration get() = stopTime * TRIAL_PART
+
+    /** The same in the move; the rest of the time is left to find out that the version is bad. */
+    public val moveValidity: Duration get() = stopTime * MOVE_PART
+
     /** Holds the bounds of deployments that state none. */
     public companion object {
+        private const val TRIAL_PART = 0.3
+        private const val MOVE_PART = 0.7
+
         /** Time within which a version that is found to be bad gets no more requests. */
         public val DEFAULT_STOP_TIME: Duration = 5.seconds
     }
--- a/core/src/main/kotlin/org/guavapath/core/versions/VersionRollout.kt
+++ b/core/src/main/kotlin/org/guavapath/core/versions/VersionRollout.kt
@@ -47,7 +47,7 @@
     progress: VersionProgress?,
     private val startedAt: MonotonicTime,
 ) {
-    private val runs = GatewayRuns(token)
+    private val runs = GatewayRuns(token, bounds)
     private val ledger = ExposureLedger(bounds, token, runs, progress)
     private val schedule = ComparisonSchedule()
     private var grantNumber = 0L
--- a/core/src/test/kotlin/org/guavapath/core/versions/GatewayShareTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/versions/GatewayShareTest.kt
@@ -14,7 +14,7 @@
     private val order = VersionOrder(ServiceName("service"), SoftwareVersion("v2"), 12.seconds, createdAt = 7)
     private val route = RouteName("route")
     private val start = MonotonicTime.ZERO + 100.seconds
-    private val share = GatewayShare(order, Incarnation(3), start)
+    private val share = GatewayShare(order, Incarnation(3), ExposureBounds(0.1, 50, 5.seconds), start)
 
     private fun grant(number: Long, answered: Long = 1) = VersionGrant(
         order,
--- a/core/src/test/kotlin/org/guavapath/core/versions/VersionSite.kt
+++ b/core/src/test/kotlin/org/guavapath/core/versions/VersionSite.kt
@@ -165,7 +165,7 @@
     private fun endRequests(gateway: SimulatedGateway) {
         if (gateway.share == null && now >= gateway.startsAt) {
             gateway.runs += 1
-            gateway.share = GatewayShare(order, Incarnation(gateway.runs), now, stored.takeIf { isStoreUp })
+            gateway.share = GatewayShare(order, Incarnation(gateway.runs), BOUNDS, now, stored.takeIf { isStoreUp })
             // A gateway reads the store when it starts.
             outcome?.let { gateway.share?.decided(it) }
         }
@@ -212,7 +212,7 @@
             violations += "a request to the target $foundAgo after its 50th bad answer"
         }
         val leftAgo = decidedAfter.takeIf { outcome is VersionPhase.RolledBack }?.let { now - start - it }
-        val validity = if (share.phase == VersionPhase.Move) GatewayShare.MOVE_VALIDITY else GatewayShare.VALIDITY
+        val validity = if (share.phase == VersionPhase.Move) BOUNDS.moveValidity else BOUNDS.trialValidity
         if (leftAgo != null && leftAgo > validity) {
             violations += "a request to the target $leftAgo after it was rolled back"
         }
