A popular part no longer explains away a new one that more evidence points to

Sound requests were refused (16 of 50) in PromptCrashTest#findsAPartThatCrashesReplicasWithinAResponseWithoutALength: of one crash only a sound request was known, as the deadly one's response had come to its end; so the shared part had one crash more than the deadly one, explained it, and was held. Likewise ordinaryCrashesQuarantineNothing refused 15 with responses without a length, whose answers are confirmed 300 ms late. Now an answered part gives way to new parts of different requests that explain all its crashes but one, and answers that wait for confirmation count as requests that live on.

--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
@@ -55,6 +55,11 @@
     /** Identities of the requests with the suspect that the crashed incarnations had. */
     val requests: Set<Pair<ReplicaIncarnation, RequestId>> by lazy { reports.map { it.id }.toSet() }
     val incarnations: Set<ReplicaIncarnation> = crashes.map { it.incarnation }.toSet()
+
+    /** Whether the crashes were on requests that differ, and not on repeats of one. */
+    val hasDifferentRequests: Boolean
+        get() = suspect is PartKey &&
+            reports.flatMap { report -> report.suspects.filterIsInstance<RequestKey>() }.distinct().size > 1
     val newestAt: MonotonicTime get() = crashes.last().at
 
     /** The first crash of each depth. */
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/Suspicion.kt
@@ -36,7 +36,8 @@
             val likely = rows.filter { it.weight >= sufficientWeight(it) }
             if (likely.isEmpty()) return emptyList()
             val sufficient = likely.filter { it.weight >= minOf(MAX_WEIGHT, neededFor(it, likely, rows)) }
-            val causes = withoutExplained(sufficient.filterNot { isWider(it, sufficient) })
+            val narrow = sufficient.filterNot { isWider(it, sufficient) || isExplainedByNew(it, sufficient) }
+            val causes = withoutExplained(narrow)
             val together = causes.groupBy { cause -> inAllRequestsOf(cause, rows) }
                 .filter { (suspects, ofThem) -> ofThem.first().depth > 1 || suspects.any { it is RequestKey } }
             return together.map { (suspects, ofThem) ->
@@ -69,6 +70,17 @@
                 (row.wasAnswered || !other.wasAnswered) && row.requests.containsAll(other.requests)
         }
 
+        /**
+         * Returns whether suspects that were never answered, and were in different requests, explain all crashes of
+         * [row] but one, whose cause may have been given up before, while its own suspect was answered before.
+         */
+        private fun isExplainedByNew(row: CrashRow, rows: List<CrashRow>): Boolean {
+            if (!row.wasAnswered) return false
+            val explained = rows.filter { !it.wasAnswered && it.hasDifferentRequests }
+                .flatMapTo(HashSet()) { it.incarnations }
+            return row.incarnations.any { it in explained } && row.incarnations.count { it !in explained } <= 1
+        }
+
         /** Returns [rows] without those that have no crash of their own; those with the same crashes are kept. */
         private fun withoutExplained(rows: List<CrashRow>): List<CrashRow> {
             var left = rows
--- a/core/src/test/kotlin/org/guavapath/core/quarantine/CrashQuarantineTest.kt
+++ b/core/src/test/kotlin/org/guavapath/core/quarantine/CrashQuarantineTest.kt
@@ -225,6 +225,13 @@
                 if (it < 3) crashed("r$it", "a", "b", "x", isStalled = false, after = Duration.ZERO)
             }
         },
+        Case("a crash of which only the request beside the cause is known", listOf("a x"), listOf("a b")) {
+            answered("a", "b")
+            repeat(4) {
+                if (it < 3) crashed("r$it", "a", "x", isStalled = false)
+                crashed("r$it", "a", "b", isStalled = false, after = 500.milliseconds * (it / 3))
+            }
+        },
         Case("what runs beside the cause does not count", listOf("x"), listOf("y")) {
             repeat(4) {
                 crashed("r$it", "x", isStalled = false)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -3,6 +3,7 @@
 import org.guavapath.core.fleet.ServiceName
 import org.guavapath.core.quarantine.CrashReport
 import org.guavapath.core.quarantine.FirstEventPauses
+import org.guavapath.core.quarantine.RunningRequest
 import org.guavapath.core.time.MonotonicTime
 
 /** Finds out whether replicas whose connections close have crashed, and reports the requests that they had. */
@@ -12,6 +13,10 @@
     private val telemetry: GatewayTelemetry,
 ) {
     private val pauses = HashMap<ServiceName, FirstEventPauses>()
+    private val unconfirmed = LinkedHashSet<RunningRequest>()
+
+    /** Requests with responses without a length that have come to their end, but of whose replicas no more is known. */
+    val unconfirmedAnswers: Collection<RunningRequest> get() = unconfirmed
 
     /**
      * Records that [attempt] was answered completely. A response without a length is ended by a crash too, and counts
@@ -21,8 +26,14 @@
         if (isFramed) return recordAnswer(attempt, admitted)
         val record = attempt.choice.record
         val cutOff = CutOffAttempt(attempt, MonotonicTime.now(), othersRunning = record.ownLoad.requests)
-        val onAlive = { recordAnswer(attempt, admitted) }
-        probes.confirm(record.entry, onEnded = { report(cutOff, admitted) }, onAlive)
+        val answer = RunningRequest(record.entry.incarnation, admitted.suspects, attempt.startedAt)
+        unconfirmed += answer
+        probes.confirm(
+            record.entry,
+            onEnded = { report(cutOff, admitted) },
+            onAlive = { recordAnswer(attempt, admitted) },
+            onOver = { unconfirmed -= answer },
+        )
     }
 
     private fun recordAnswer(attempt: Attempt, admitted: AdmittedRequest) {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -135,7 +135,8 @@
         scope.launch { targetAges.run() }
         scope.launch { rollout.run(scope) }
         replicas.onLost = quarantine::replicaLost
-        quarantine.running = { exchanges.running.mapNotNull { it.responding } }
+        quarantine.running =
+            { exchanges.running.mapNotNull { it.responding } + exchanges.crashes.unconfirmedAnswers }
         quarantine.onHeld = { exchanges.running.toList().forEach { it.endIfQuarantined() } }
         scope.launch { quarantine.run(scope) }
         pool.onHead = availability::responded
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaProbes.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaProbes.kt
@@ -71,11 +71,12 @@
      * @param onEnded called if the replica has ended
      * @param onAlive called in place of [onEnded] if the replica is still reached [CONFIRMATION_TIME] later; neither is
      *   called if it has ended in between
+     * @param onOver called once, at the end of the examination at the latest
      */
-    fun confirm(replica: Replica, onEnded: () -> Unit, onAlive: () -> Unit) {
+    fun confirm(replica: Replica, onEnded: () -> Unit, onAlive: () -> Unit, onOver: () -> Unit = {}) {
         val onOutlived: (Survival) -> Unit = { if (it.isAccepting) onAlive() }
-        val pace = Pace(SETTLING_TIME, CONFIRMATION_TIME, QUIET_PAUSE, TIME_TO_REFUSE)
-        probeOf(replica).add(Inquiry(onEnded, onSettled = {}, onOutlived, pace))
+        val pace = Pace(CONFIRMATION_TIME, CONFIRMATION_TIME, QUIET_PAUSE, TIME_TO_REFUSE)
+        probeOf(replica).add(Inquiry(onEnded, onSettled = onOver, onOutlived, pace))
     }
 
     private fun probeOf(replica: Replica) = probes.getOrPut(replica.incarnation) { Probe(replica) }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/QuarantineTaskTest.kt
@@ -182,7 +182,8 @@
         val parts = listOf(7L)
         val none = emptyList<Long>()
         val old = List(CRASHES) {
-            PeerMessage.SharedCrash("replica-$it", 1, RequestId("$it"), 1_000L, stage, parts, none, none, trials = 0)
+            val age = 1_000L * (it + 1)
+            PeerMessage.SharedCrash("replica-$it", 1, RequestId("$it"), age, stage, parts, none, none, trials = 0)
         }
         val task = start("vm-1")
         onLoop { task.received(VmId("vm-2"), PeerMessage.PromptCrashes(old, isGreeting = false)) }
