--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashQuarantine.kt
@@ -24,13 +24,15 @@
         private val duration: Duration get() {
             val crashes = suspicion.row.incarnations.size
             val (first, doublings) = when {
-                isOfWholeRequest -> LONG_HOLD to suspicion.row.depth - Suspicion.SUFFICIENT_WEIGHT
+                isOfKnownRequest -> LONG_HOLD to suspicion.row.depth - Suspicion.SUFFICIENT_WEIGHT
                 crashes >= Suspicion.MAX_WEIGHT -> LONG_HOLD to crashes - Suspicion.MAX_WEIGHT
                 else -> SHORT_HOLD to crashes - Suspicion.SUFFICIENT_WEIGHT
             }
             return if (doublings >= MAX_DOUBLINGS) LONGEST_HOLD else first * (1 shl doublings.coerceAtLeast(0))
         }
-        private val isOfWholeRequest: Boolean get() = suspects.any { it is RequestKey } &&
+
+        /** Whether it is certain enough that the whole request is the cause, and not only a part or another one. */
+        private val isOfKnownRequest: Boolean get() = suspects.any { it is RequestKey } &&
             suspicion.row.depth >= Suspicion.SUFFICIENT_WEIGHT && !suspicion.isAmbiguous
     }
 
--- a/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
+++ b/core/src/main/kotlin/org/guavapath/core/quarantine/CrashRow.kt
@@ -23,6 +23,9 @@
  * The crashes that one suspect may have caused, in the order of time: no complete answer to a request with it
  * contradicts them.
  *
+ * For example, replicas A and B end 20 ms apart, and C a second later, each with a request that has a part: two moments
+ * of three crashes, so that the part has a depth and a weight of 2. If C's response was stalled, the weight is 4.
+ *
  * Replicas that are lost at one moment count once. A crash follows another one if it came later than that moment, or if
  * the request was sent after the other crash.
  */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ExchangeAttempts.kt
@@ -47,7 +47,7 @@
         private set
 
     /** Returns how the request is refused if it would not be sent any more, null if it would. */
-    val refusalSinceSent: Refusal? get() = quarantine.sinceSent()
+    val refusalSinceSent: Refusal? get() = quarantine.ofNow()
 
     /** Whether the request has ended and is not sent any more. */
     var isOver = false
@@ -88,7 +88,7 @@
     }
 
     private fun sendToBest(search: Int) {
-        quarantine.sinceSent()?.let { return onRefused(it) }
+        quarantine.ofNow()?.let { return onRefused(it) }
         val scope = context.cacheScope(admitted.workspace)
         val placementRequest = PlacementRequest(
             admitted.service.name,
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineRefusals.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineRefusals.kt
@@ -17,7 +17,7 @@
     }
 
     /** Returns the refusal if the request would not be sent now, null if it would be, also as a trial. */
-    fun sinceSent(): Refusal? =
+    fun ofNow(): Refusal? =
         (context.quarantine.verdict(admitted.suspects) as? QuarantineVerdict.Held)?.let { refusal(it) }
 
     private fun refusal(held: QuarantineVerdict.Held): Refusal {
