--- a/review/6/DrainBetweenPages.java
+++ b/review/8/DrainBetweenPages.java
@@ -70,7 +70,7 @@
 
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Path folder = Files.createTempDirectory("case-6");
+        Path folder = Files.createTempDirectory("case-8");
         List<AutoCloseable> open = new ArrayList<>();
         int result = 2;
         try (Record record = new Record(Path.of(arguments[0]))) {
--- a/review/stage/Gateway.java
+++ b/review/stage/Gateway.java
@@ -66,7 +66,9 @@
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
         builder.environment().put("GUAVAPATH_SETTINGS", folder.resolve(name + ".json").toString());
-        process = builder.start();
+        Process started = builder.start();
+        process = started;
+        Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
     }
 
     long pid() {
