--- a/review/8/DrainBetweenPages.java
+++ b/review/8/DrainBetweenPages.java
@@ -20,11 +20,12 @@
     private static final int REPLICAS = 63;
     private static final int LEAVING = 8;
     private static final int PAGE = 50;
-    private static final long DRAIN_MS = 2_000;
-    private static final long CONTACT_MS = 3_000;
-    private static final long LINGER_MS = 3_000;
+    private static final long DRAIN_MS = 3_000;
+    private static final long CONTACT_MS = 4_000;
+    private static final long VERSION_MS = 8_000;
+    private static final long LINGER_MS = 3_200;
     private static final long WORK_MS = 1_500;
-    private static final int PER_SECOND = 20;
+    private static final int PER_SECOND = 15;
 
     private static volatile Runnable onFirstPage;
     private static volatile long startedAt;
@@ -110,6 +111,8 @@
         Gateway first = new Gateway("g1", folder);
         Gateway second = new Gateway("g2", folder);
         for (Gateway gateway : List.of(first, second)) {
+            gateway.contactMs = CONTACT_MS;
+            gateway.versionMs = VERSION_MS;
             gateway.configure(store.address(), List.of(first, second), true, true);
             gateway.start();
             open.add(gateway);
--- a/review/stage/Gateway.java
+++ b/review/stage/Gateway.java
@@ -18,6 +18,10 @@
     private final Path folder;
     private Process process;
 
+    /** Bounds of the site, in the settings. */
+    long contactMs = 3_000;
+    long versionMs = 6_000;
+
     Gateway(String name, Path folder) throws IOException {
         this.name = name;
         this.folder = folder;
@@ -40,9 +44,9 @@
             .replace("{{bootstrap|json}}", String.valueOf(bootstrap)).replace("{{bounds.graceS|json}}", "8")
             .replace("{{bounds.retryBudgetRatio|json}}", "0.2").replace("{{bounds.budgetWindowS|json}}", "10")
             .replace("{{bounds.budgetSlack|json}}", "56");
-        settings = section(settings, "bounds.versionMs", "6000");
+        settings = section(settings, "bounds.versionMs", String.valueOf(versionMs));
         settings = section(settings, "bounds.fencingEnforced", fencingEnforced ? "true" : null);
-        settings = section(settings, "bounds.contactMs", "3000");
+        settings = section(settings, "bounds.contactMs", String.valueOf(contactMs));
         settings = section(settings, "bounds.exposeShare", null);
         settings = section(settings, "bounds.exposeSlack", null);
         settings = section(settings, "bounds.rollbackMs", null);
