--- a/review/stage/Gateway.java
+++ b/review/stage/Gateway.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -7,10 +8,15 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** The project's program as a process of its own, with the command of the deploy file. */
 final class Gateway implements AutoCloseable {
+    private static final Set<Integer> TAKEN = ConcurrentHashMap.newKeySet();
+
     final String name;
     final int callers = freePort();
     private final int readiness = freePort();
@@ -124,10 +130,16 @@
         }
     }
 
+    /** Returns a free port below those that systems give to outgoing channels, which might take it before a restart. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket()) {
-            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            return socket.getLocalPort();
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+            try (ServerSocket socket = new ServerSocket()) {
+                socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+                if (TAKEN.add(port)) return port;
+            } catch (BindException inUse) {
+                // Another one is tried.
+            }
         }
     }
 }
