--- a/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
+++ b/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
@@ -3,6 +3,7 @@
 
 import com.github.michaelbull.result.Result
 import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
 import kotlin.time.Duration
 
 /**
@@ -55,9 +56,10 @@
  *
  * @property name name within its kind
  * @property revision revision of its last change
- * @property value content of the object
+ * @property value content of the object, [JsonNull] if it is not readable
  * @property status what the system says of the object, null if nothing
  * @property createdAt revision number at which the object was created, 0 if not known
+ * @property fault why the content is not readable, null if it is, or if that is not known
  */
 public data class StoredObject(
     public val name: String,
@@ -65,6 +67,7 @@
     public val value: JsonElement,
     public val status: JsonElement? = null,
     public val createdAt: Long = 0,
+    public val fault: String? = null,
 )
 
 /**
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Members.kt
@@ -4,7 +4,6 @@
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.delay
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.guavapath.core.identity.FailureDomainName
 import org.guavapath.core.identity.Incarnation
@@ -148,7 +147,7 @@
 
     private fun decode(stored: StoredObject): MemberEntry? = try {
         Json.decodeFromJsonElement(MemberEntry.serializer(), stored.value)
-    } catch (exception: SerializationException) {
+    } catch (exception: IllegalArgumentException) {
         log.stateChange("member entry ignored", "vm" to stored.name, "error" to exception.message)
         null
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
@@ -58,7 +58,7 @@
     fun offerConfiguration(stored: StoredObject): Boolean = ConfigurationCodec.decode(stored.value).fold(
         success = { adopt(it, stored) },
         failure = {
-            log.stateChange("configuration ignored", "revision" to stored.revision.number, "error" to it)
+            log.stateChange("configuration ignored", "revision" to stored.revision.number, "error" to (stored.fault ?: it))
             false
         },
     )
@@ -71,7 +71,7 @@
      */
     fun offerWeights(stored: StoredObject, from: VmId?, isWitnessed: Boolean): Boolean {
         val targetWeights = ReplicaCodec.targetWeights(stored.value).getOrElse {
-            log.stateChange("weights naming ignored", "name" to stored.name, "error" to it)
+            log.stateChange("weights naming ignored", "name" to stored.name, "error" to (stored.fault ?: it))
             null
         } ?: return false
         val isNewer = fleet.weights.setTarget(targetWeights.model, naming(targetWeights.number, stored, isWitnessed))
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaList.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaList.kt
@@ -83,7 +83,10 @@
         name,
         stored.value
     ).getOrElse {
-        if (decodeErrors.put(name, it) != it) log.stateChange("replica entry ignored", "replica" to name, "error" to it)
+        val error = stored.fault ?: it
+        if (decodeErrors.put(name, error) != error) {
+            log.stateChange("replica entry ignored", "replica" to name, "error" to error)
+        }
         null
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/SharedViewCodec.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/SharedViewCodec.kt
@@ -1,6 +1,8 @@
 package org.guavapath.daemon.gateway
 
-import kotlinx.serialization.json.Json
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrElse
+import kotlinx.serialization.json.JsonNull
 import org.guavapath.core.store.Change
 import org.guavapath.core.store.Listing
 import org.guavapath.core.store.ObjectKind
@@ -9,6 +11,7 @@
 import org.guavapath.core.store.StoredObject
 import org.guavapath.core.store.WatchResult
 import org.guavapath.daemon.peers.PeerMessage
+import org.guavapath.platform.store.StoredContent
 
 /** Encodes and decodes copies of the store's objects, and their changes, in messages between gateways. */
 internal object SharedViewCodec {
@@ -44,6 +47,13 @@
     }
 
     /** Decodes the object [name], read in [era]. */
-    fun decode(name: String, shared: PeerMessage.SharedObject, era: StoreEra) =
-        StoredObject(name, Revision(shared.revision, era), Json.parseToJsonElement(shared.json))
+    fun decode(name: String, shared: PeerMessage.SharedObject, era: StoreEra): StoredObject {
+        val content = StoredContent.parse(shared.json)
+        return StoredObject(
+            name,
+            Revision(shared.revision, era),
+            content.getOrElse { JsonNull },
+            fault = content.getError(),
+        )
+    }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoredRolloutLease.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoredRolloutLease.kt
@@ -5,7 +5,6 @@
 import com.github.michaelbull.result.map
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
 import org.guavapath.core.identity.Incarnation
@@ -69,7 +68,7 @@
 
     private fun decode(value: JsonElement): LeaseRecord? = try {
         Json.decodeFromJsonElement(LeaseRecord.serializer(), value)
-    } catch (exception: SerializationException) {
+    } catch (exception: IllegalArgumentException) {
         log.stateChange("rollout lease not readable", "error" to exception.message)
         null
     }
