Objects of the store that nothing here can use are not kept

Callers: no answer while gateways were away.

Cause: a copy of the store's objects kept the content of each as a tree of JSON, usable or not, and the next copy was built beside it.

Fix: StoredContent asks the codec of the kind for each object as it is read; what is not usable leaves its name, its revision and the reason. List entries have limits of their own and keep only the fields that are read. Copies of other gateways pass through the same function. Reports of replicas are bounded. Ignored entries are logged once, a limited number at a time, and counted; errors in log lines no longer carry contents.

--- a/core/src/main/kotlin/org/guavapath/core/json/JsonMeasure.kt
+++ b/core/src/main/kotlin/org/guavapath/core/json/JsonMeasure.kt
@@ -8,13 +8,10 @@
 internal class JsonMeasure(private val limits: JsonLimits) {
     private var bytes = 0
     private var elements = 1
+    private var depth = 0
     private var isInString = false
     private var isEscaped = false
 
-    /** How many arrays and objects are open. */
-    var depth = 0
-        private set
-
     /** Which limit is exceeded, null if none is. */
     var excess: String? = null
         private set
@@ -23,8 +20,8 @@
     var isClosed = false
         private set
 
-    /** Whether the next byte is part of a string. */
-    val isWithinString: Boolean get() = isInString
+    /** Whether the next byte is part of a string, an array or an object that has begun. */
+    val isOpen: Boolean get() = isInString || depth > 0
 
     /** Counts the next [byte]. */
     fun add(byte: Int) {
--- a/core/src/main/kotlin/org/guavapath/core/json/JsonScanner.kt
+++ b/core/src/main/kotlin/org/guavapath/core/json/JsonScanner.kt
@@ -6,12 +6,8 @@
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonPrimitive
 import java.io.ByteArrayOutputStream
-import java.io.EOFException
 import java.io.InputStream
 
-private const val BUFFER_BYTES = 8_192
-private const val END = -1
-
 /** Names of fields are short; a longer one is none that is asked for. */
 private const val MAX_FIELD_NAME_BYTES = 256
 
@@ -24,29 +20,27 @@
  * All functions throw [java.io.IOException] if the document ends early or cannot be read, and
  * [IllegalArgumentException] if what separates its values is not JSON.
  */
-public class JsonScanner(private val input: InputStream) {
-    private val buffer = ByteArray(BUFFER_BYTES)
-    private var position = 0
-    private var end = 0
+public class JsonScanner(input: InputStream) {
+    private val bytes = JsonBytes(input)
 
     /**
-     * Reads an object and calls [onField] with the name of each field; it must read the field's value with this scanner.
+     * Reads an object and calls [onField] with the name of each field; it must read the field's value in this scanner.
      *
      * Returns false, and passes over the value, if it is not an object.
      */
     public fun readObject(onField: (String) -> Unit): Boolean {
-        if (peekToken() != '{'.code) return false.also { skip() }
+        if (bytes.peekToken() != '{'.code) return false.also { skip() }
         readList('}') { onField(readFieldName()) }
         return true
     }
 
     /**
-     * Reads an array and calls [onElement] for each element, which it must read with this scanner.
+     * Reads an array and calls [onElement] for each element, which it must read in this scanner.
      *
      * Returns false, and passes over the value, if it is not an array.
      */
     public fun readArray(onElement: () -> Unit): Boolean {
-        if (peekToken() != '['.code) return false.also { skip() }
+        if (bytes.peekToken() != '['.code) return false.also { skip() }
         readList(']', onElement)
         return true
     }
@@ -55,7 +49,7 @@
     public fun read(limits: JsonLimits): Result<JsonElement, String> {
         val measure = JsonMeasure(limits)
         val text = ByteArrayOutputStream()
-        pass(measure) { byte -> if (measure.excess == null) text.write(byte) else text.reset() }
+        pass(measure) { byte -> if (measure.excess == null) text.write(byte) }
         return measure.excess?.let { Err(it) } ?: BoundedJson.decode(text.toByteArray())
     }
 
@@ -63,68 +57,42 @@
     public fun skip(): Unit = pass(JsonMeasure(UNLIMITED)) {}
 
     private fun readList(closing: Char, readEntry: () -> Unit) {
-        next()
-        if (peekToken() == closing.code) {
-            next()
-            return
-        }
-        while (true) {
+        var separator = bytes.next()
+        if (bytes.peekToken() == closing.code) separator = bytes.next()
+        while (separator != closing.code) {
             readEntry()
-            val separator = peekToken()
-            next()
-            if (separator == closing.code) return
-            require(separator == ','.code) { "a value is followed by ${describe(separator)}" }
+            separator = bytes.peekToken()
+            bytes.next()
+            require(separator == ','.code || separator == closing.code) {
+                "a value is followed by ${describe(separator)}"
+            }
         }
     }
 
     private fun readFieldName(): String {
-        require(peekToken() == '"'.code) { "a field name begins with ${describe(peek())}" }
+        val quote = bytes.peekToken()
+        require(quote == '"'.code) { "a field name begins with ${describe(quote)}" }
         val name = read(FIELD_NAME_LIMITS)
-        require(peekToken() == ':'.code) { "a field name is followed by ${describe(peek())}" }
-        next()
+        val colon = bytes.peekToken()
+        require(colon == ':'.code) { "a field name is followed by ${describe(colon)}" }
+        bytes.next()
         return (name.get() as? JsonPrimitive)?.content.orEmpty()
     }
 
     /** Reads the bytes of one value. Strings, arrays and objects end by themselves, all others before what follows. */
     private inline fun pass(measure: JsonMeasure, onByte: (Int) -> Unit) {
-        peekToken()
-        while (!measure.isClosed && !(measure.depth == 0 && !measure.isWithinString && isEndOfValue(peek()))) {
-            val byte = next()
+        bytes.peekToken()
+        while (!measure.isClosed && (measure.isOpen || bytes.peek() !in ENDS_OF_VALUE)) {
+            val byte = bytes.next()
             measure.add(byte)
             onByte(byte)
         }
     }
 
-    private fun isEndOfValue(byte: Int) = byte == END || byte.toChar() in ",:]}"
-
-    /** Returns the next byte that is not white space, without reading it. */
-    private fun peekToken(): Int {
-        while (peek().let { it == ' '.code || it == '\n'.code || it == '\r'.code || it == '\t'.code }) next()
-        if (peek() == END) throw EOFException("the document ends early")
-        return peek()
-    }
-
-    private fun peek(): Int {
-        if (position == end) fill()
-        return if (end == END) END else buffer[position].toInt() and BYTE_MASK
-    }
-
-    private fun next(): Int {
-        val byte = peek()
-        if (byte == END) throw EOFException("the document ends early")
-        position += 1
-        return byte
-    }
-
-    private fun fill() {
-        end = input.read(buffer)
-        position = if (end == END) END else 0
-    }
-
-    private fun describe(byte: Int) = if (byte == END) "the end" else "'${byte.toChar()}'"
+    private fun describe(byte: Int) = "'${byte.toChar()}'"
 
     private companion object {
-        const val BYTE_MASK = 0xFF
+        val ENDS_OF_VALUE = intArrayOf(JsonBytes.END, ','.code, ':'.code, ']'.code, '}'.code)
         val UNLIMITED = JsonLimits(Int.MAX_VALUE, Int.MAX_VALUE, Int.MAX_VALUE)
         val FIELD_NAME_LIMITS = JsonLimits(MAX_FIELD_NAME_BYTES, depth = 1, elements = 1)
     }
--- a/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
+++ b/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
@@ -68,7 +68,10 @@
     public val status: JsonElement? = null,
     public val createdAt: Long = 0,
     public val fault: String? = null,
-)
+) {
+    /** Returns the name and the revision; the content may be long. */
+    override fun toString(): String = "$name at $revision"
+}
 
 /**
  * A consistent snapshot of all objects of a kind.
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -112,6 +112,7 @@
             "settings" to settings.copy(peerSecrets = emptyList()).toString()
         )
         telemetry.metrics.registerGauges(pool, operator, fleet)
+        telemetry.metrics.gauge("guavapath.gateway.replica.entries.ignored") { replicas.ignoredEntries }
         telemetry.metrics.gauge("guavapath.gateway.store.era") { store.era.value.number }
         telemetry.metrics.gauge("guavapath.gateway.store.back.off.ms") { store.backOff.current.inWholeMilliseconds }
         telemetry.metrics.gauge("guavapath.gateway.body.bytes.held") { admission.bodies.held }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorExchange.kt
@@ -2,8 +2,10 @@
 
 import kotlinx.coroutines.flow.drop
 import org.guavapath.core.identity.VmId
+import org.guavapath.core.store.ObjectKind
 import org.guavapath.core.store.StoreEra
 import org.guavapath.daemon.peers.PeerMessage
+import org.guavapath.platform.wire.StoreKinds
 
 /**
  * Shares what the operator has written with the other gateways, by the operator's own numbers.
@@ -24,15 +26,16 @@
 
     /** Applies what [from] knows, and passes on what is new. */
     fun received(from: VmId, message: PeerMessage.OperatorTold) {
-        val isNewConfiguration =
-            message.configuration?.let { operator.offerConfiguration(decode(OperatorState.CONFIGURATION, it)) } ?: false
+        val isNewConfiguration = message.configuration?.let {
+            operator.offerConfiguration(decode(StoreKinds.CONFIGURATIONS, StoreKinds.CONFIGURATION_NAME, it))
+        } ?: false
         val newWeights = message.weights.filter { (name, shared) -> isNew(name, shared, from) }
         if (message.isGreeting) peers.send(from, message(isGreeting = false))
         if (isNewConfiguration || newWeights.isNotEmpty()) peers.relay(from, message(isGreeting = false))
     }
 
     private fun isNew(name: String, shared: PeerMessage.SharedObject, from: VmId) =
-        operator.offerWeights(decode(name, shared), from, isWitnessed = false)
+        operator.offerWeights(decode(StoreKinds.WEIGHTS, name, shared), from, isWitnessed = false)
 
     private fun message(isGreeting: Boolean) = PeerMessage.OperatorTold(
         operator.storedConfiguration?.let { SharedViewCodec.encode(it) },
@@ -40,6 +43,6 @@
         isGreeting,
     )
 
-    private fun decode(name: String, shared: PeerMessage.SharedObject) =
-        SharedViewCodec.decode(name, shared, StoreEra.UNKNOWN)
+    private fun decode(kind: ObjectKind, name: String, shared: PeerMessage.SharedObject) =
+        SharedViewCodec.decode(kind, name, shared, StoreEra.UNKNOWN)
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/OperatorState.kt
@@ -11,6 +11,7 @@
 import org.guavapath.core.weights.TargetNaming
 import org.guavapath.platform.wire.ConfigurationCodec
 import org.guavapath.platform.wire.ReplicaCodec
+import org.guavapath.platform.wire.StoreKinds
 
 /**
  * State that the platform's operator controls: the configuration in force and the target weights.
@@ -42,7 +43,7 @@
 
     /** Applies the configuration in [view] if it is newer. */
     fun updateConfiguration(view: StoreView) {
-        view.objects[CONFIGURATION]?.let { offerConfiguration(it) }
+        view.objects[StoreKinds.CONFIGURATION_NAME]?.let { offerConfiguration(it) }
     }
 
     /** Called when target weights have become known. */
@@ -58,7 +59,11 @@
     fun offerConfiguration(stored: StoredObject): Boolean = ConfigurationCodec.decode(stored.value).fold(
         success = { adopt(it, stored) },
         failure = {
-            log.stateChange("configuration ignored", "revision" to stored.revision.number, "error" to (stored.fault ?: it))
+            log.stateChange(
+                "configuration ignored",
+                "revision" to stored.revision.number,
+                "error" to (stored.fault ?: it)
+            )
             false
         },
     )
@@ -109,9 +114,4 @@
         log.stateChange("configuration in force", "version" to next.version.number, "former" to before?.version?.number)
         return true
     }
-
-    companion object {
-        /** Name of the object with the configuration. */
-        const val CONFIGURATION = "main"
-    }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaControlClient.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaControlClient.kt
@@ -78,7 +78,7 @@
         private val result: CompletableDeferred<Result<CallResponse, CallFailure>>,
         private val onHead: (ReplicaResponseHead) -> Unit,
     ) : ReplicaResponseListener {
-        private val body = BodyBuffer()
+        private val body = BodyBuffer(MAX_BODY_BYTES)
         private var status = 0
 
         override fun notSent(reason: String, isOwnDecision: Boolean) {
@@ -106,6 +106,9 @@
     private companion object {
         val MAX_IDLE = 2.seconds
 
+        /** Longer than any report with the runs of a replica. */
+        const val MAX_BODY_BYTES = 262_144
+
         /** Calls are few, so they may open connections in addition to those of callers' requests. */
         const val MAX_CONNECTIONS = 64
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaList.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaList.kt
@@ -4,7 +4,6 @@
 import org.guavapath.core.fleet.Replica
 import org.guavapath.core.fleet.ReplicaId
 import org.guavapath.core.fleet.ReplicaIncarnation
-import org.guavapath.core.store.StoredObject
 import org.guavapath.core.time.MonotonicTime
 import org.guavapath.platform.wire.ReplicaCodec
 import kotlin.time.Duration
@@ -30,12 +29,15 @@
 
     /** Called with each incarnation that is not listed any more, or only its next one, though it did not drain. */
     var onLost: (ReplicaIncarnation) -> Unit = {}
-    private val decodeErrors = HashMap<String, String>()
+    private var ignored = emptySet<String>()
+
+    /** Number of listed entries that name no replica. */
+    val ignoredEntries: Int get() = ignored.size
 
     /** Applies the entries of [view]; returns after what time another update is due, null if no entry is held back. */
     fun update(view: StoreView): Duration? {
         val now = MonotonicTime.now()
-        val decoded = view.objects.mapNotNull { (name, stored) -> decode(name, stored)?.let { it.id to it } }.toMap()
+        val decoded = decode(view)
         val present = if (isRestored(now, STALE_COPY_PERIOD)) withoutReturned(decoded) else decoded
         val isAfterOutage = !view.isAvailable || now - view.health.recoveredAt < RECOVERY_GRACE_PERIOD ||
             isRestored(now, RECOVERY_GRACE_PERIOD)
@@ -79,15 +81,27 @@
         next.values.forEach { leftAt.remove(it.incarnation) }
     }
 
-    private fun decode(name: String, stored: StoredObject): Replica? = ReplicaCodec.entry(
-        name,
-        stored.value
-    ).getOrElse {
-        val error = stored.fault ?: it
-        if (decodeErrors.put(name, error) != error) {
-            log.stateChange("replica entry ignored", "replica" to name, "error" to error)
+    /** Returns the replicas that the entries of [view] name; the other entries are ignored. */
+    private fun decode(view: StoreView): Map<ReplicaId, Replica> {
+        val faults = LinkedHashMap<String, String>()
+        val decoded = view.objects.mapNotNull { (name, stored) ->
+            ReplicaCodec.entry(name, stored.value).getOrElse {
+                faults[name] = stored.fault ?: it
+                null
+            }
+        }
+        logIgnored(faults)
+        return decoded.associateBy { it.id }
+    }
+
+    /** Logs entries that were not ignored before, by their names, a limited number of them. */
+    private fun logIgnored(faults: Map<String, String>) {
+        val new = faults.filterKeys { it !in ignored }
+        new.entries.take(MAX_LOGGED_ENTRIES).forEach { (name, fault) ->
+            log.stateChange("replica entry ignored", "replica" to name.take(MAX_LOGGED_LENGTH), "error" to fault)
         }
-        null
+        if (new.size > MAX_LOGGED_ENTRIES) log.stateChange("replica entries ignored", "entries" to faults.size)
+        ignored = faults.keys
     }
 
     private fun logChanges(next: Map<ReplicaId, Replica>) {
@@ -113,6 +127,9 @@
         /** Longer than three intervals at which replicas write their entries, after which silent ones are removed. */
         val STALE_COPY_PERIOD = 5.seconds
 
+        const val MAX_LOGGED_ENTRIES = 20
+        const val MAX_LOGGED_LENGTH = 200
+
         /** Older than any copy that the store returns from. */
         val LEFT_RETENTION = 60.seconds
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/SharedViewCodec.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/SharedViewCodec.kt
@@ -35,20 +35,27 @@
 
     /** Decodes a whole copy, read in [era]. */
     fun decode(content: PeerMessage.ViewContent, era: StoreEra): Listing =
-        Listing(content.objects.mapValues { (name, shared) -> decode(name, shared, era) }, Revision(content.asOf, era))
+        Listing(
+            content.objects.mapValues { (name, shared) -> decode(ObjectKind(content.kind), name, shared, era) },
+            Revision(content.asOf, era),
+        )
 
     /** Decodes changes, read in [era]. */
     fun decode(message: PeerMessage.ViewChanged, era: StoreEra): WatchResult.Changes {
         val changes = message.changes.map { change ->
             val revision = Revision(change.revision, era)
-            Change(change.name, revision, change.present?.let { decode(change.name, it, era) })
+            Change(
+                change.name,
+                revision,
+                change.present?.let { decode(ObjectKind(message.kind), change.name, it, era) }
+            )
         }
         return WatchResult.Changes(changes, Revision(message.asOf, era))
     }
 
-    /** Decodes the object [name], read in [era]. */
-    fun decode(name: String, shared: PeerMessage.SharedObject, era: StoreEra): StoredObject {
-        val content = StoredContent.parse(shared.json)
+    /** Decodes the object [name] of [kind], read in [era]. */
+    fun decode(kind: ObjectKind, name: String, shared: PeerMessage.SharedObject, era: StoreEra): StoredObject {
+        val content = StoredContent.parse(kind, name, shared.json)
         return StoredObject(
             name,
             Revision(shared.revision, era),
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaListTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaListTest.kt
@@ -4,6 +4,10 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
 import org.guavapath.core.identity.FailureDomainName
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.time.MonotonicTime
@@ -116,6 +120,29 @@
         assertTrue(recovery.elapsedNow() in MIN_RETENTION..MAX_RETENTION, "${recovery.elapsedNow()} after the recovery")
     }
 
+    /** Guards against requests to a replica whose entry has become unreadable, and against its staying out for good. */
+    @Test
+    fun anEntryThatBecomesUnreadableNamesNoReplicaUntilItIsReadableAgain() {
+        val contents = listOf(JsonNull, JsonPrimitive("text"), JsonArray(emptyList()), JsonObject(emptyMap()))
+        listOf(false, true).forEach { isAfterOutage ->
+            val memory = MemoryStore(SampleFleet("127.0.0.1:1"))
+            memory.writeAll(listOf("one" to false, "two" to false))
+            val gateway = Gateway(memory, isMember = false)
+            assertEquals(setOf("one", "two"), gateway.read())
+            if (isAfterOutage) {
+                gateway.view.health.failed("cut off")
+                Thread.sleep(OUTAGE.inWholeMilliseconds)
+                gateway.view.health.succeeded()
+            }
+            contents.forEach { content ->
+                memory.write(StoreKinds.REPLICAS, "two", content)
+                assertEquals(setOf("one"), gateway.read(), "$content, after an outage: $isAfterOutage")
+                memory.writeAll(listOf("two" to false))
+                assertEquals(setOf("one", "two"), gateway.read(), "$content, after an outage: $isAfterOutage")
+            }
+        }
+    }
+
     private companion object {
         /** Longer than what counts as an outage. */
         val OUTAGE = 1200.milliseconds
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/SharedViewCodecTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/SharedViewCodecTest.kt
@@ -9,7 +9,7 @@
 import kotlin.test.assertNotNull
 
 class SharedViewCodecTest {
-    /** Guards against an unreadable object in the copy of a gateway of another build that stops a link or an event loop. */
+    /** Guards against an unreadable object in the copy of another gateway that stops a link or an event loop. */
     @Test
     fun unreadableObjectsOfACopyHideNoOthers() {
         val cases = listOf(
