Tasks that others rely on are begun again after any failure

A task that is to run for ever ended for good on a failure that nobody had named, with one log line: views of the store, the listener for links and the links themselves, the rollout, the quarantine, usage and prompt news.

Cause: each was launched once, with a handler that only logs; links named the failures that they survive.

Fix: keepRunning logs a failure of any kind and begins the task again; exhausted memory ends the process as before. A view tells again of a change on which its reader has failed, as it lists the store anew. Any failure of a link closes that link only, and it is dialled again.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashReportExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashReportExchange.kt
@@ -3,13 +3,13 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.guavapath.core.fleet.ReplicaIncarnation
 import org.guavapath.core.identity.RequestId
 import org.guavapath.core.identity.VmId
 import org.guavapath.core.quarantine.CrashQuarantine
 import org.guavapath.core.quarantine.CrashReport
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.keepRunning
 import org.guavapath.daemon.peers.PeerMessage
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -23,19 +23,21 @@
     private val news = LinkedHashMap<Pair<ReplicaIncarnation, RequestId>, CrashReport>()
 
     /** Sends what is published, and repeats what is known. */
-    suspend fun run(scope: CoroutineScope) {
-        scope.launch {
+    fun run(scope: CoroutineScope) {
+        scope.keepRunning("repeated crash reports") {
             while (true) {
                 delay(REPEAT_INTERVAL)
                 if (quarantine.reports.isNotEmpty()) peers.broadcast(message(quarantine.reports))
             }
         }
-        while (true) {
-            wakeUp.receive()
-            val reports = news.values.toList()
-            news.clear()
-            if (reports.isNotEmpty()) peers.broadcast(message(reports))
-            delay(MIN_INTERVAL)
+        scope.keepRunning("crash reports") {
+            while (true) {
+                wakeUp.receive()
+                val reports = news.values.toList()
+                news.clear()
+                if (reports.isNotEmpty()) peers.broadcast(message(reports))
+                delay(MIN_INTERVAL)
+            }
         }
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Gateway.kt
@@ -23,6 +23,7 @@
 import org.guavapath.core.store.StoreEra
 import org.guavapath.core.throttling.RateArbitration
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.keepRunning
 import org.guavapath.daemon.peers.PeerHandshake
 import org.guavapath.daemon.peers.PeerMessage
 import org.guavapath.daemon.peers.PeerReceiver
@@ -122,30 +123,32 @@
         telemetry.metrics.gauge("guavapath.gateway.bodies.refused") { admission.bodies.refusals }
         store.backOff.onFailed = telemetry.metrics::storeCallFailed
         viewExchange.refresh()
-        views.forEach { scope.launch { it.follow() } }
-        scope.launch { peers.start(scope, this@Gateway) }
+        views.forEach { view -> scope.keepRunning("view of ${view.kind}") { view.follow() } }
+        scope.keepRunning("peer listener") { peers.start(scope, this) }
         settings.peerSeeds.filter { it != settings.peers }.forEach { peers.keepLink(scope, it, this) }
-        scope.launch { members.keepRegistered { membersView.objects } }
-        scope.launch { members.removeSilent(liveness, topology::isResponsibleForRemovals) { membersView.objects } }
-        scope.launch { topology.watchLinks(::planLinks, viewExchange::refresh) }
-        scope.launch { publisher.publishStatusForever() }
-        scope.launch { publisher.publishPromptsForever() }
-        scope.launch { publisher.publishUsageForever() }
+        scope.keepRunning("registration") { members.keepRegistered { membersView.objects } }
+        scope.keepRunning("removals") {
+            members.removeSilent(liveness, topology::isResponsibleForRemovals) { membersView.objects }
+        }
+        scope.keepRunning("links") { topology.watchLinks(::planLinks, viewExchange::refresh) }
+        scope.keepRunning("status") { publisher.publishStatusForever() }
+        scope.keepRunning("prompts") { publisher.publishPromptsForever() }
+        scope.keepRunning("usage") { publisher.publishUsageForever() }
         operator.onWeightsNamed = targetAges::ask
         targetAges.onLearned = { exchanges.waiting.toList().forEach { it.targetsChanged() } }
-        scope.launch { targetAges.run() }
-        scope.launch { rollout.run(scope) }
+        scope.keepRunning("target ages") { targetAges.run() }
+        rollout.run(scope)
         replicas.onLost = quarantine::replicaLost
         quarantine.running =
             { exchanges.running.mapNotNull { it.responding } + exchanges.crashes.unconfirmedAnswers }
         quarantine.onHeld = { exchanges.running.toList().forEach { it.endIfQuarantined() } }
-        scope.launch { quarantine.run(scope) }
+        quarantine.run(scope)
         pool.onHead = availability::responded
         pool.onStray = { replica, stray -> telemetry.stray(replica.id, stray) }
-        scope.launch { availability.run() }
-        scope.launch { namedRates.run(scope) }
-        scope.launch { permits.run() }
-        scope.launch { operatorExchange.run() }
+        scope.keepRunning("availability") { availability.run() }
+        namedRates.run(scope)
+        scope.keepRunning("permits") { permits.run() }
+        scope.keepRunning("operator exchange") { operatorExchange.run() }
         callerListener = CallerHttpServer(group, admission).start(SocketAddress.of(settings.callers))
         ReadinessServer(group, { isReady }, telemetry.metrics::text).start(SocketAddress.of(settings.readiness))
     }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/NamedRateTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/NamedRateTask.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.guavapath.core.fleet.Replica
 import org.guavapath.core.fleet.ReplicaId
 import org.guavapath.core.fleet.ReplicaIncarnation
@@ -13,6 +12,7 @@
 import org.guavapath.core.throttling.RateNotice
 import org.guavapath.core.throttling.RateStatement
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.keepRunning
 import org.guavapath.daemon.peers.PeerMessage
 import org.guavapath.platform.wire.ReplicaResponseHead
 import kotlin.time.Duration.Companion.milliseconds
@@ -29,8 +29,8 @@
     private val invalidTexts = RepeatedTexts(fleet.replicas)
 
     /** Publishes changes, and everything again now and then while a replica has a rate. */
-    suspend fun run(scope: CoroutineScope) {
-        scope.launch {
+    fun run(scope: CoroutineScope) {
+        scope.keepRunning("ballots of rates") {
             var ticks = 0
             while (true) {
                 delay(BALLOT_INTERVAL)
@@ -38,10 +38,12 @@
                 tick(isFull = ticks % BALLOTS_PER_REPEAT == 0)
             }
         }
-        while (true) {
-            updates.receive()
-            publish(unpublished.values.toList())
-            delay(MIN_INTERVAL)
+        scope.keepRunning("named rates") {
+            while (true) {
+                updates.receive()
+                publish(unpublished.values.toList())
+                delay(MIN_INTERVAL)
+            }
         }
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/QuarantineTask.kt
@@ -12,6 +12,7 @@
 import org.guavapath.core.quarantine.RunningRequest
 import org.guavapath.core.quarantine.Suspect
 import org.guavapath.core.time.MonotonicTime
+import org.guavapath.daemon.keepRunning
 import org.guavapath.daemon.peers.PeerMessage
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -43,19 +44,23 @@
     var running: () -> List<RunningRequest> = { emptyList() }
 
     /** Reads the stored reports, publishes reports and forgets old ones. */
-    suspend fun run(scope: CoroutineScope) {
+    fun run(scope: CoroutineScope) {
         val addStored = { reports: List<CrashReport> ->
             add(reports.map { it.withTimesOf(quarantine[it]) })
             quarantine.reportsOfHeld
         }
         scope.launch { stored.load { addStored(it) } }
-        scope.launch { stored.keepSaved(addStored) }
-        scope.launch { stored.watchRestores { if (quarantine.held.isNotEmpty()) stored.save() } }
-        scope.launch { exchange.run(scope) }
-        while (true) {
-            delay(EXPIRY_INTERVAL)
-            quarantine.expire(MonotonicTime.now())
-            if (holdLog.update()) onHeld()
+        scope.keepRunning("saved crash reports") { stored.keepSaved(addStored) }
+        scope.keepRunning("restored crash reports") {
+            stored.watchRestores { if (quarantine.held.isNotEmpty()) stored.save() }
+        }
+        exchange.run(scope)
+        scope.keepRunning("quarantine") {
+            while (true) {
+                delay(EXPIRY_INTERVAL)
+                quarantine.expire(MonotonicTime.now())
+                if (holdLog.update()) onHeld()
+            }
         }
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/RolloutTask.kt
@@ -13,6 +13,7 @@
 import org.guavapath.core.weights.RolloutProgress
 import org.guavapath.core.weights.RolloutReplica
 import org.guavapath.core.weights.WeightsOrder
+import org.guavapath.daemon.keepRunning
 import org.guavapath.daemon.peers.PeerMessage
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -50,19 +51,22 @@
     /** Services of which a replica has stated weights of a model. */
     private val services = HashMap<ModelName, MutableSet<ServiceName>>()
 
-    suspend fun run(scope: CoroutineScope) {
-        scope.launch { measureLag() }
-        lease.learnHolder()
-        var wasCandidate = false
-        while (true) {
-            val isCandidate = peers.isRolloutCandidate()
-            if (isCandidate != wasCandidate) logCandidate(isCandidate)
-            wasCandidate = isCandidate
-            if (isCandidate) {
-                inviteIfUnfit()
-                fleet.weights.newestOfAll().keys.forEach { step(scope, it) }
+    /** Orders replicas to load weights until [scope] is cancelled. */
+    fun run(scope: CoroutineScope) {
+        scope.keepRunning("lag of the loop") { measureLag() }
+        scope.keepRunning("rollout") {
+            lease.learnHolder()
+            var wasCandidate = false
+            while (true) {
+                val isCandidate = peers.isRolloutCandidate()
+                if (isCandidate != wasCandidate) logCandidate(isCandidate)
+                wasCandidate = isCandidate
+                if (isCandidate) {
+                    inviteIfUnfit()
+                    fleet.weights.newestOfAll().keys.forEach { step(scope, it) }
+                }
+                delay(if (isCandidate) TICK else IDLE_TICK)
             }
-            delay(if (isCandidate) TICK else IDLE_TICK)
         }
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -43,6 +43,9 @@
 ) {
     private val held = LinkedHashMap<String, StoredObject>()
 
+    /** Whether [onChange] has not taken the last change, or there was none yet. */
+    private var isDeliveryOwed = true
+
     /** Whether the store responds to this gateway or to the hub that it follows. */
     val health = StoreHealth(kind, log)
 
@@ -87,7 +90,7 @@
             val isProbe = store.backOff.awaitTurn { if (isReading.value) health.failed(it.toString()) }
             when {
                 !isReading.value -> Unit
-                isProbe || asOf == Revision.NONE || asOf.era < store.era.value || health.isFailing -> list()
+                isProbe || isDeliveryOwed || asOf.era < store.era.value || health.isFailing -> list()
                 else -> watch()
             }
         }
@@ -169,14 +172,14 @@
                 "formerEra" to asOf.era.number,
             )
         }
-        val isChanged = listing.objects != held || asOf == Revision.NONE
+        val isChanged = listing.objects != held || isDeliveryOwed
         isChangeWitnessed = false
         changed = listing.objects.values.toList()
         held.clear()
         held.putAll(listing.objects)
         asOf = listing.asOf
         newestChange = listing.objects.values.maxOfOrNull { it.revision } ?: newestChange
-        if (isChanged) onChange(this)
+        if (isChanged) deliver()
         if (isRestored) onRestored()
     }
 
@@ -189,7 +192,13 @@
         }
         asOf = result.asOf
         newestChange = result.changes.maxOfOrNull { it.revision } ?: newestChange
-        if (result.changes.isNotEmpty()) onChange(this)
+        if (result.changes.isNotEmpty()) deliver()
+    }
+
+    private fun deliver() {
+        isDeliveryOwed = true
+        onChange(this)
+        isDeliveryOwed = false
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerTask.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerTask.kt
@@ -16,13 +16,19 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import org.guavapath.core.identity.VmId
+import org.guavapath.daemon.gateway.endIfOutOfMemory
+import org.guavapath.daemon.keepRunning
 import org.guavapath.daemon.settings.ListenAddress
 import java.io.IOException
+import java.nio.channels.UnresolvedAddressException
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -50,13 +56,13 @@
     /** Starts listening and returns the bound address; [receiver] receives all messages of accepted links. */
     suspend fun start(scope: CoroutineScope, receiver: PeerReceiver): String {
         val server = aSocket(selector).tcp().bind(listen.host, listen.port)
-        scope.launch { acceptAll(server, receiver) }
+        scope.keepRunning("links from peers") { acceptAll(server, receiver) }
         return server.localAddress.toString().removePrefix("/")
     }
 
     /** Keeps a link open to the daemon at [address], given as `HOST:PORT`; does nothing if it is dialled already. */
     fun keepLink(scope: CoroutineScope, address: String, receiver: PeerReceiver) {
-        dialJobs.computeIfAbsent(address) { scope.launch { dialForever(it, receiver) } }
+        dialJobs.computeIfAbsent(address) { scope.keepRunning("link with $it") { dialForever(it, receiver) } }
     }
 
     /** Closes the dialled links to all addresses but [addresses] and stops dialling them. */
@@ -115,16 +121,18 @@
 
     /** Runs [block] and logs how the link ended, so that a failed link does not affect the others. */
     private suspend fun guarded(peer: String, block: suspend () -> Unit) {
-        try {
-            block()
-        } catch (exception: PeerProtocolException) {
-            logger.warn { "link with $peer refused: ${exception.message}" }
-        } catch (exception: IOException) {
-            logger.debug(exception) { "link with $peer ended" }
-        } catch (exception: kotlinx.coroutines.TimeoutCancellationException) {
-            logger.debug(exception) { "link with $peer timed out" }
-        } catch (exception: java.nio.channels.UnresolvedAddressException) {
-            logger.warn(exception) { "address $peer cannot be resolved" }
+        val failure = runCatching { block() }.exceptionOrNull()
+        currentCoroutineContext().ensureActive()
+        when (failure) {
+            null -> Unit
+            is PeerProtocolException -> logger.warn { "link with $peer refused: ${failure.message}" }
+            is IOException -> logger.debug(failure) { "link with $peer ended" }
+            is TimeoutCancellationException -> logger.debug(failure) { "link with $peer timed out" }
+            is UnresolvedAddressException -> logger.warn(failure) { "address $peer cannot be resolved" }
+            else -> {
+                endIfOutOfMemory(failure)
+                logger.error(failure) { "link with $peer failed" }
+            }
         }
     }
 }
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
@@ -20,6 +20,7 @@
 import org.guavapath.core.store.StoreError
 import org.guavapath.core.store.StoredObject
 import org.guavapath.core.store.WatchResult
+import org.guavapath.daemon.keepRunning
 import org.guavapath.platform.wire.SampleFleet
 import org.guavapath.platform.wire.StoreKinds
 import kotlin.test.Test
@@ -201,6 +202,29 @@
         assertEquals(reads, store.reads, "the lease is not read")
     }
 
+    /** Guards against a view that never tells of changes again after one of its readers has failed on one. */
+    @Test
+    fun aChangeOnWhichTheReaderFailsIsToldAgain() = runBlocking {
+        val memory = MemoryStore(SampleFleet("127.0.0.1:1"))
+        val tracked = EraTrackingStore(CountingStore(memory), GatewayLog())
+        val told = ArrayList<Set<String>>()
+        var failures = 0
+        val kind = ObjectKind("kind")
+        val failing = StoreView(kind, tracked, GatewayLog()) {
+            if ("bad" in it.objects && failures++ < 2) throw StackOverflowError()
+            told += it.changed.map { stored -> stored.name }.toSet()
+        }
+        val following = keepRunning("view") { failing.follow() }
+        delay(100.milliseconds)
+        memory.write(kind, "bad", JsonPrimitive(1))
+        val isTold = withTimeoutOrNull(5.seconds) { while (told.none { "bad" in it }) delay(10.milliseconds) }
+        assertNotNull(isTold, "the change is told: $told")
+        memory.write(kind, "next", JsonPrimitive(1))
+        val isNextTold = withTimeoutOrNull(PROMPT) { while (told.none { "next" in it }) delay(10.milliseconds) }
+        assertNotNull(isNextTold, "the next change is told: $told")
+        following.cancel()
+    }
+
     /** Guards against listing without a pause while the store's responses are of an earlier era than is known. */
     @Test
     fun aStoreThatStatesAnEarlierEraIsListedNowAndThen() = runBlocking {
