--- a/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
+++ b/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
@@ -74,12 +74,26 @@
 }
 
 /**
- * A consistent snapshot of all objects of a kind.
+ * All objects of a kind.
+ *
+ * All changes up to [asOf] are in it. Later ones are too where the store has lost the history between two pages; a
+ * watch from [asOf] then tells of changes that some objects already have.
  *
  * @property objects the objects by name
- * @property asOf the revision of the snapshot
+ * @property asOf the revision from which a watch continues
  */
-public data class Listing(public val objects: Map<String, StoredObject>, public val asOf: Revision)
+public data class Listing(public val objects: Map<String, StoredObject>, public val asOf: Revision) {
+    /** Returns the objects after [changes], in order. None goes back to an earlier revision than it has. */
+    public fun after(changes: WatchResult.Changes): Listing {
+        val next = LinkedHashMap(objects)
+        changes.changes.filterNot { change -> next[change.name].let { it != null && it.revision > change.revision } }
+            .forEach { change ->
+                val present = change.present
+                if (present == null) next.remove(change.name) else next[change.name] = present
+            }
+        return Listing(next, changes.asOf)
+    }
+}
 
 /** The result of [ObjectStore.watch]. */
 public sealed class WatchResult {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -41,7 +41,7 @@
     private val delayBetweenWatches: Duration = DEFAULT_DELAY,
     private val onChange: (StoreView) -> Unit,
 ) {
-    private val held = LinkedHashMap<String, StoredObject>()
+    private var held = emptyMap<String, StoredObject>()
 
     /** Whether [onChange] has not taken the last change, or there was none yet. */
     private var isDeliveryOwed = true
@@ -172,13 +172,14 @@
                 "formerEra" to asOf.era.number,
             )
         }
-        val isChanged = listing.objects != held || isDeliveryOwed
+        // An object that is newer than the listing stays, so that it does not go back to an earlier revision.
+        val next = listing.objects + held.filterValues { it.revision > listing.asOf }
+        val isChanged = next != held || isDeliveryOwed
         isChangeWitnessed = false
-        changed = listing.objects.values.toList()
-        held.clear()
-        held.putAll(listing.objects)
+        changed = next.values.toList()
+        held = next
         asOf = listing.asOf
-        newestChange = listing.objects.values.maxOfOrNull { it.revision } ?: newestChange
+        newestChange = next.values.maxOfOrNull { it.revision } ?: newestChange
         if (isChanged) deliver()
         if (isRestored) onRestored()
     }
@@ -186,10 +187,7 @@
     private fun apply(result: WatchResult.Changes) {
         isChangeWitnessed = true
         changed = result.changes.mapNotNull { it.present }
-        result.changes.forEach { change ->
-            val present = change.present
-            if (present == null) held.remove(change.name) else held[change.name] = present
-        }
+        held = Listing(held, asOf).after(result).objects
         asOf = result.asOf
         newestChange = result.changes.maxOfOrNull { it.revision } ?: newestChange
         if (result.changes.isNotEmpty()) deliver()
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
@@ -130,6 +130,23 @@
         assertEquals(setOf("new"), view.objects.keys)
     }
 
+    /** Guards against an object that goes back to an earlier revision while a copy catches up. */
+    @Test
+    fun noObjectGoesBackToAnEarlierRevision() {
+        fun revisions() = view.objects.mapValues { it.value.revision.number }
+        view.adopt(Listing(mapOf("a" to stored("a", 5), "b" to stored("b", 15)), Revision(10)), "hub")
+        adopt(after = 10, asOf = 12, name = "b")
+        assertEquals(mapOf("a" to 5L, "b" to 15L), revisions(), "a change that the copy has already")
+        adopt(after = 12, asOf = 13, name = "b", isRemoved = true)
+        assertEquals(mapOf("a" to 5L, "b" to 15L), revisions(), "a removal before the object was created anew")
+        view.adopt(Listing(mapOf("a" to stored("a", 5), "b" to stored("b", 9)), Revision(14)), "other")
+        assertEquals(mapOf("a" to 5L, "b" to 15L), revisions(), "a copy from before that change")
+        adopt(after = 14, asOf = 16, name = "b", isRemoved = true)
+        assertEquals(mapOf("a" to 5L), revisions(), "a later removal")
+        view.adopt(Listing(emptyMap(), Revision(17)), "other")
+        assertEquals(emptyMap(), revisions(), "a copy after all of these changes")
+    }
+
     @Test
     fun followCallsTheStoreOnlyWhileReading() = runBlocking {
         view.isReading.value = false
