--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ReplicaConnectionTest.kt
@@ -82,6 +82,27 @@
         }
     }
 
+    /** Guards against a status that is none of HTTP, which callers got as an answer, 0200 even as a success (MIXED). */
+    @Test
+    fun neverRelaysAResponseWithoutAValidStatusLine() {
+        val statuses = listOf("", "0", "20", "000", "099", "600", "999", "1000", "0200", "2200", "20O", "+200", "-200")
+        val versions = listOf("HTTP/2.0", "HTTP/0.9", "HTTP/11.1", "ICY/1.1")
+        val cases = statuses.map { "HTTP/1.1 $it OK" } + versions.map { "$it 200 OK" }
+        for (statusLine in cases) {
+            val driven = DrivenConnection()
+            val request = driven.send("second")
+            driven.receive(success("second").replace("HTTP/1.1 200 OK", statusLine))
+            assertEquals("failed", result(request), statusLine)
+            assertEquals(false, driven.isOpen, statusLine)
+        }
+        for (statusLine in listOf("HTTP/1.0 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ")) {
+            val request = DrivenConnection().let { driven ->
+                driven.send("second").also { driven.receive(success("second").replace("HTTP/1.1 200 OK", statusLine)) }
+            }
+            assertEquals("200 success", result(request), statusLine)
+        }
+    }
+
     /** A response that was broken off within its body was completed by bytes of the next one. */
     @Test
     fun neverTakesTheNextResponseForTheRestOfABody() {
