The own interface relays no response whose status is none of HTTP

OkHttp takes any three digits.

Evidence: FailureTest.aNonRepeatableRequestRunsAtMostOnce with a service that answers 600: [1000] before, [5003] (outcome unknown, docs/RESULT_CODES.md) now. My first expectation of it, 5005, was wrong: that is the code for an operation that an earlier attempt holds.

Fix: one interceptor of the client for services fails such a response.

--- a/acceptance/src/test/kotlin/org/guavapath/acceptance/FailureTest.kt
+++ b/acceptance/src/test/kotlin/org/guavapath/acceptance/FailureTest.kt
@@ -70,6 +70,8 @@
         listOf(
             Case("plain", "{}", listOf("1000", "5010"), runs = 1),
             Case("retry-now", """{"refuseWithRetryNow":true}""", listOf("1000", "5010"), runs = 1),
+            // A status that is none of HTTP is no answer to relay (MIXED).
+            Case("no-status", """{"status":600}""", listOf("5003"), runs = 1),
         ).forEach { case ->
             fleet.put("${fleet.service()}/faults", case.fault)
             val results = case.results.indices.map { exchange(daemon = it, case.operation).result }
--- a/core/src/main/kotlin/org/guavapath/core/results/HttpStatus.kt
+++ b/core/src/main/kotlin/org/guavapath/core/results/HttpStatus.kt
@@ -50,4 +50,11 @@
 
     /** 504. */
     GATEWAY_TIMEOUT(number = 504),
+    ;
+
+    /** Tells which numbers are statuses. */
+    public companion object {
+        /** The numbers that the status of a response may have. */
+        public val NUMBERS: IntRange = 100..599
+    }
 }
--- a/daemon/src/main/kotlin/org/guavapath/daemon/pipeline/ServiceDispatch.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/pipeline/ServiceDispatch.kt
@@ -18,6 +18,7 @@
 import okhttp3.Response
 import org.guavapath.core.config.Endpoint
 import org.guavapath.core.results.DispatchCode
+import org.guavapath.core.results.HttpStatus
 import org.guavapath.core.results.IdentityCode
 import org.guavapath.core.results.ResultCode
 import org.guavapath.core.results.Served
@@ -57,6 +58,7 @@
         .eventListenerFactory { SendTracker.Listener }
         .addInterceptor(RetryAfterHolder.Restore)
         .addNetworkInterceptor(RetryAfterHolder.Hold)
+        .addNetworkInterceptor(ValidStatus)
         .build()
     private val oneShotClient = repeatableClient.newBuilder()
         .connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS))
@@ -173,6 +175,13 @@
     class Failed(val isKeyWithdrawn: Boolean) : ServiceResult()
 }
 
+/** Fails a response whose status is none of HTTP; the client takes any three digits. */
+private val ValidStatus = Interceptor { chain ->
+    val response = chain.proceed(chain.request())
+    if (response.code !in HttpStatus.NUMBERS) response.use { throw IOException("the status is ${it.code}") }
+    response
+}
+
 /**
  * Renames `Retry-After` while the HTTP client handles a response, which would otherwise resend the
  * request by itself if the header is 0.
--- a/standins/src/main/kotlin/org/guavapath/standins/service/ServiceStandIn.kt
+++ b/standins/src/main/kotlin/org/guavapath/standins/service/ServiceStandIn.kt
@@ -17,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicLong
 
 private const val CALLER_KEY_PREFIX = "gp_"
+private const val OK = 200
 private const val UNAVAILABLE = 503
 
 /**
@@ -24,9 +25,14 @@
  *
  * @property delayMilliseconds time that a run takes
  * @property refuseWithRetryNow requests are refused with status 503 and `Retry-After: 0` after the run was counted
+ * @property status status of the responses
  */
 @Serializable
-internal data class ServiceFaults(val delayMilliseconds: Long = 0, val refuseWithRetryNow: Boolean = false)
+internal data class ServiceFaults(
+    val delayMilliseconds: Long = 0,
+    val refuseWithRetryNow: Boolean = false,
+    val status: Int = OK,
+)
 
 /** Serves a plain service on a loopback port. */
 internal class ServiceStandIn(port: Int) {
@@ -59,6 +65,7 @@
         if (activeFaults.refuseWithRetryNow) {
             context.status(UNAVAILABLE).header("Retry-After", "0")
         } else {
+            context.status(activeFaults.status)
             context.json("""{"operation":"$operation","path":"${context.path()}","done":true}""")
         }
     }
