--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/SentRequest.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/SentRequest.kt
@@ -34,11 +34,7 @@
             !hasBody -> onTaken()
             else -> {
                 isEnding = true
-                val verdict = {
-                    // Where it cannot be told, the response may be a part.
-                    val isReset = runCatching { channel.isReset }.getOrDefault(true)
-                    if (isReset) onNotTaken("the replica did not read the request") else onTaken()
-                }
+                val verdict = { if (channel.isReset) onNotTaken("the replica did not read the request") else onTaken() }
                 channel.eventLoop().schedule(verdict, RESET_DELAY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             }
         }
