--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPipeline
 import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
@@ -59,7 +58,7 @@
     private var decoder: ReplicaResponseDecoder? = null
     private var listener: ReplicaResponseListener? = null
     private var pending: PendingResponse? = null
-    private var sent: SentRequest? = null
+    private var isWritten = false
 
     /** The response that is being completed, while what follows it is looked at. */
     private var completed: PendingResponse? = null
@@ -95,6 +94,11 @@
         channel = context.channel()
     }
 
+    /** Adds the handlers of an HTTP connection and this one to [pipeline]. */
+    fun install(pipeline: ChannelPipeline) {
+        pipeline.addLast(HttpRequestEncoder(), this)
+    }
+
     /**
      * Sends [request]; the response must name [id], or no request if it is null.
      *
@@ -108,7 +112,8 @@
         val decoder = ReplicaResponseDecoder { carried.wasSentWith(HttpMethod.HEAD, it.decode().request) }
         this.decoder = decoder
         channel.pipeline().addBefore(channel.pipeline().context(this).name(), null, decoder)
-        sent = SentRequest(channel, request)
+        isWritten = false
+        channel.writeAndFlush(request).addListener { isWritten = it.isSuccess }
     }
 
     /** Closes the connection, upon which the replica drops the current request; the listener gets no more calls. */
@@ -124,27 +129,23 @@
             isClosed -> Unit
             message is HttpObject && response != null -> when (val state = response.read(message)) {
                 PendingState.Incomplete -> Unit
-                is PendingState.Complete -> {
-                    val endsWithConnection = !response.isFramed && channel.isInputEnded
-                    if (endsWithConnection) end(response, state.head) else complete(response, state.head)
-                }
+                is PendingState.Complete -> complete(response, state.head)
                 is PendingState.Invalid -> fail(state.reason)
             }
-            else -> {
-                val bytes = ByteBufUtil.getBytes(message as ByteBuf)
-                isJoined = completed?.isContinuedBy(bytes) ?: false
-                Heads(expected = null).unasked(bytes.size)
-                fail("received bytes while no request was pending")
-            }
+            else -> receiveUnasked(ByteBufUtil.getBytes(message as ByteBuf))
         }
     }
 
-    /** Completes [response], which ended with the replica's side of the connection, unless the connection is reset. */
-    private fun end(response: PendingResponse, head: ReplicaResponseHead) =
-        sent?.end(onTaken = { if (!isClosed) complete(response, head) }, onNotTaken = { if (!isClosed) fail(it) })
+    private fun receiveUnasked(bytes: ByteArray) {
+        isJoined = completed?.isContinuedBy(bytes) ?: false
+        Heads(expected = null).unasked(bytes.size)
+        fail("received bytes while no request was pending")
+    }
 
     private fun complete(response: PendingResponse, head: ReplicaResponseHead) {
         val receiver = listener ?: return
+        // The end of the connection is not that of the response if it was reset, which a write may be the first to see.
+        if (!response.isFramed && !isWritten) return fail("the connection was closed before the request was sent")
         listener = null
         pending = null
         isReading = true
@@ -153,7 +154,7 @@
         decoder?.let { channel.pipeline().remove(it) }
         decoder = null
         completed = null
-        if (response.isReusable && sent?.isWritten == true && !isClosed) onIdle(this, head) else close()
+        if (response.isReusable && isWritten && !isClosed) onIdle(this, head) else close()
         if (isJoined) receiver.failed("the body ends within another response") else receiver.complete()
     }
 
@@ -167,13 +168,6 @@
         if (!isClosed) fail("the connection was closed")
     }
 
-    /** Called when the replica has ended its side of the connection, after the decoder has completed a response. */
-    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
-        val isEnd = event == ChannelInputShutdownEvent.INSTANCE && sent?.isEnding != true
-        if (isEnd && !isClosed) fail("the connection was closed")
-        super.userEventTriggered(context, event)
-    }
-
     /** Called when a read finds the connection reset, before the decoder takes that for the end of a response. */
     @Deprecated("Deprecated in Netty for outbound handlers only")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
@@ -191,11 +185,6 @@
     }
 }
 
-/** Adds the handlers of an HTTP connection and this one to [pipeline]. */
-internal fun ReplicaConnection.install(pipeline: ChannelPipeline) {
-    pipeline.addLast(HttpRequestEncoder(), this)
-}
-
 /** Whether [headers] tell where the response ends; otherwise it ends when the connection closes. */
 internal fun isFramed(headers: HttpHeaders): Boolean =
     headers.contains(HttpHeaderNames.CONTENT_LENGTH) ||
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
+import io.netty.channel.socket.nio.NioSocketChannel
 import jdk.net.ExtendedSocketOptions
 import org.guavapath.core.connections.SilencePolicy
 import org.guavapath.core.connections.SilenceWatch
@@ -235,9 +236,7 @@
 
     private fun bootstrap(connection: ReplicaConnection): Bootstrap = Bootstrap()
         .group(loop)
-        .channel(ReplicaSocketChannel::class.java)
-        // A reset that follows the end of a response is only seen while the connection is open.
-        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        .channel(NioSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_SECONDS)
