Review: show that a part of an answer passes for whole

Cause: the end of a channel is taken for the end of an answer without a length, though a reset follows it at once, as the replica has not read the request.

--- a/review/yard/Gateway.java
+++ b/review/yard/Gateway.java
@@ -42,11 +42,15 @@
             "platform", Json.of("address", store, "form", "objects", "writesPerS", 400, "readsPerS", 2000));
     }
 
+    /** Returns a free port below those that outgoing channels take. */
     static int freePort(String host) {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-            return socket.getLocalPort();
-        } catch (IOException exception) {
-            throw new IllegalStateException(exception);
+        while (true) {
+            int port = 12_000 + (int) (Math.random() * 18_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+                return socket.getLocalPort();
+            } catch (IOException exception) {
+                // The port is taken.
+            }
         }
     }
 
--- a/review/yard/Replica.java
+++ b/review/yard/Replica.java
@@ -15,7 +15,7 @@
 
     final String id;
     final String service;
-    private final Record record;
+    final Record record;
     private final Listener listener;
     volatile Behaviour behaviour = (replica, request, socket, out) -> replica.reply(request, out, 200, "", "answer to " + request.header("Attempt-Id"));
 
@@ -37,7 +37,8 @@
             "coldLeftMs", 0L, "seq", (long) seq, "born", 1_790_000_000_000L);
     }
 
-    private void serve(Socket socket, InputStream in, OutputStream out) throws Exception {
+    /** Serves one channel until it ends. */
+    void serve(Socket socket, InputStream in, OutputStream out) throws Exception {
         while (true) {
             Message request = Message.read(in);
             if (request == null) return;
