Review: show that a silent store hides a replica that leaves

Cause: a watch that is sent while the store is silent has no limit but the 22 s of the call, and a quiet gateway makes no other call that would show it.

--- a/review/yard/Store.java
+++ b/review/yard/Store.java
@@ -32,6 +32,9 @@
     private long revision = 100;
     private final Listener listener;
 
+    /** Whether calls get no answer, now or later; a channel on which an answer was lost returns nothing further. */
+    volatile boolean isSilent;
+
     Store(String host) throws IOException {
         listener = new Listener(host, 0, this::serve);
     }
@@ -74,7 +77,12 @@
         while (true) {
             Message request = Message.read(in);
             if (request == null) return;
+            boolean isLost = isSilent;
             Object[] answer = answer(request);
+            if (isLost || isSilent) {
+                in.transferTo(OutputStream.nullOutputStream());
+                return;
+            }
             byte[] body = Json.write(answer[1]).getBytes(StandardCharsets.UTF_8);
             String head = "HTTP/1.1 " + answer[0] + " Status\r\nContent-Type: application/json\r\nContent-Length: "
                 + body.length + "\r\n\r\n";
