A whole response that ends before a crash does not count as cut off by it

Callers: sound requests refused by quarantine after crashes that they had not caused, where responses have no length.

Cause: such a response ends as a crash would end it. The second connection that tells whether the replica lives was tried 50 ms later, and a refusal within 100 ms counted as an end by a crash.

Fix: the second connection is tried after 10 ms, and a refusal counts within 25 ms.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaProbes.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaProbes.kt
@@ -65,8 +65,8 @@
         probeOf(replica).add(Inquiry(onEnded, onSettled = {}, onOutlived = {}, Pace(SETTLING_TIME, WATCH_TIME)))
 
     /**
-     * Examines [replica], which has ended a response by closing its connection, with few connections. An end that
-     * shows later is not one of that response, which was most likely whole.
+     * Examines [replica], which has ended a response by closing its connection. An end that shows later than with the
+     * second connection is not one of that response, which was most likely whole.
      *
      * @param onEnded called if the replica has ended
      * @param onAlive called in place of [onEnded] if the replica is still reached [CONFIRMATION_TIME] later; neither is
@@ -75,7 +75,7 @@
      */
     fun confirm(replica: Replica, onEnded: () -> Unit, onAlive: () -> Unit, onOver: () -> Unit = {}) {
         val onOutlived: (Survival) -> Unit = { if (it.isAccepting) onAlive() }
-        val pace = Pace(CONFIRMATION_TIME, CONFIRMATION_TIME, QUIET_PAUSE, TIME_TO_REFUSE)
+        val pace = Pace(CONFIRMATION_TIME, CONFIRMATION_TIME, TIME_TO_REFUSE)
         probeOf(replica).add(Inquiry(onEnded, onSettled = onOver, onOutlived, pace))
     }
 
@@ -84,14 +84,12 @@
     /**
      * How an inquiry goes on.
      *
-     * @property firstPause time between the first connections
      * @property attribution time within which a connection must be refused if the replica is to have ended when that of
      *   the request closed
      */
     private class Pace(
         val settlingTime: Duration,
         val duration: Duration,
-        val firstPause: Duration = FIRST_PAUSE,
         val attribution: Duration = WATCH_TIME,
     )
 
@@ -131,8 +129,7 @@
             connectUntil = now + WATCH_TIME
             after(inquiry.pace.settlingTime) { inquiry.settle() }
             after(inquiry.pace.duration) { outlived(listOf(inquiry)) }
-            val pause = inquiry.pace.firstPause
-            if (connectedAt.let { it == null || now - it > pause }) connect(++series, pause)
+            if (connectedAt.let { it == null || now - it > FIRST_PAUSE }) connect(++series, FIRST_PAUSE)
         }
 
         /** Tries a connection, and further ones after [pause] unless another series has begun. */
@@ -206,10 +203,8 @@
         /** Doubled with each connection. */
         private val FIRST_PAUSE = 10.milliseconds
 
-        private val QUIET_PAUSE = 50.milliseconds
-
         /** Covers the first two connections; most replicas that run on and end later have not ended by then. */
-        private val TIME_TO_REFUSE = 100.milliseconds
+        private val TIME_TO_REFUSE = 25.milliseconds
 
         /** The port of a replica that has ended may accept connections for 250 ms. */
         val CONFIRMATION_TIME = 300.milliseconds
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/PromptCrashTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/PromptCrashTest.kt
@@ -148,9 +148,16 @@
 
     /** Guards against refusing sound requests because their replicas crashed for other reasons. */
     @Test
-    fun ordinaryCrashesQuarantineNothing() = listOf(true, false).forEach { isFramed ->
+    fun ordinaryCrashesQuarantineNothing() = listOf(true, false).forEach { checkOrdinaryCrashes(it, REQUEST_INTERVAL) }
+
+    /** Guards against counting whole responses without a length as cut off by a crash that comes a little later. */
+    @Test
+    fun crashesSoonAfterWholeResponsesWithoutALengthQuarantineNothing() =
+        listOf(36.milliseconds, 42.milliseconds).forEach { checkOrdinaryCrashes(isFramed = false, it) }
+
+    private fun checkOrdinaryCrashes(isFramed: Boolean, interval: Duration) =
         FragileFleet(GATEWAYS, Fragility(isFatal = { false }, isFramed = isFramed)).use { fleet ->
-            val responses = fleet.sendAll(requests(List(ROUNDS) { SOUND_PROMPTS }.flatten())) { index ->
+            val responses = fleet.sendAll(requests(List(ROUNDS) { SOUND_PROMPTS }.flatten()), interval) { index ->
                 val crash = index / REQUESTS_PER_CRASH
                 if (index % REQUESTS_PER_CRASH == 0) fleet.replicas[crash % fleet.replicas.size].crash()
             }
@@ -158,7 +165,6 @@
             val quarantined = responses.count { DispatchCode.PromptQuarantined.label in it.text }
             assertEquals(0, quarantined, "requests refused by quarantine")
         }
-    }
 
     private companion object {
         const val GATEWAYS = 2
