A response without a length is whole only if its connection is not reset after its end

Cause: such a close ends the replica's side and resets the connection right after. The end of the side completed the response and closed the connection, so that nothing saw the reset. That the socket had taken the request says nothing about the replica.

Fix: connections stay open when the replica's side ends, and a response that ends with it is complete if there was no reset 50 ms later. A selector tells of the reset; a read does not, behind an end.

Callers of such responses wait 50 ms longer for the last byte. Responses with a length, in chunks or without a body do not.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/Attempt.kt
@@ -15,6 +15,12 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** Above the slowest response to a request without a prompt, which takes 315 ms; the average is 43 ms. */
+private val PLAIN_FIRST_BYTE_TIMEOUT = 400.milliseconds
+private const val EXPECTATION_FACTOR = 2
+private val FIRST_BYTE_MARGIN = 300.milliseconds
+private val MAX_FIRST_BYTE_TIMEOUT = 2.seconds
+
 /** Progress or outcome of an [Attempt]. */
 internal sealed class AttemptEvent {
     /** No byte reached the replica. */
@@ -32,6 +38,12 @@
     /** The next bytes of a successful response. */
     class BytesReceived(val bytes: ByteArray) : AttemptEvent()
 
+    /**
+     * The replica has ended its side of the connection, and its response, which has no length, with it. It is not known
+     * yet whether the response is whole.
+     */
+    data object Ended : AttemptEvent()
+
     /**
      * The response is complete; [rejection] is the body of an unsuccessful one. Unless it [isFramed], it has ended with
      * its connection.
@@ -76,6 +88,9 @@
     private val rejection = BodyBuffer()
     private var call: PooledCall? = null
     private var hasEnded = false
+
+    /** Whether the replica has ended its side of the connection, and with it a response without a length. */
+    private var hasReplicaEnded = false
     private var isKnownSilent = false
     private var hold: Refusal? = null
 
@@ -96,7 +111,8 @@
     val isRunning: Boolean get() = !hasEnded
 
     /** Whether a successful response has begun and goes on. */
-    val isResponding: Boolean get() = !hasEnded && head?.isRelayed == true && progress.firstBytesAt != null
+    val isResponding: Boolean
+        get() = !hasEnded && !hasReplicaEnded && head?.isRelayed == true && progress.firstBytesAt != null
 
     /** The local port of its connection, null if it was not handed to one. */
     val port: Int? get() = call?.port
@@ -114,7 +130,7 @@
     /** Sends the request. */
     fun start(instructions: ReplicaInstructions) {
         choice.path?.let { context.fleet.directory.record(it, record.entry.id, startedAt) }
-        silence.awaitBeginning(firstByteTimeout())
+        silence.awaitBeginning(firstByteTimeout(admitted, choice))
         beginningTimer.start()
         val refusal = {
             val isLate = MonotonicTime.now() >= admitted.dueAt
@@ -189,23 +205,50 @@
         }
     }
 
+    override fun ended() {
+        if (hasEnded) return
+        hasReplicaEnded = true
+        silence.close()
+        if (mayBeWhole) {
+            // What happens to the replica until the response is known to be whole is newer than this.
+            accounting.finish(outcome)
+            onEvent(this, AttemptEvent.Ended)
+        } else {
+            call?.cancel()
+            complete()
+        }
+    }
+
+    /** Whether what has arrived is a response unless the connection is reset; a stream may end within an event. */
+    private val mayBeWhole: Boolean
+        get() {
+            val response = head ?: return false
+            val isStream = admitted.route.retryPolicy is RetryPolicy.Stream && response.isRelayed
+            return !response.isNotRun && !(isStream && (progress.bodyBytes == 0L || part.isWithinEvent))
+        }
+
+    /** What a complete response says about the replica's health, null if nothing. */
+    private val outcome: ReplicaOutcome?
+        get() = when {
+            head?.isNotRun != false -> null
+            head?.isServerError == true -> ReplicaOutcome.FAILED
+            else -> ReplicaOutcome.RESPONDED
+        }
+
     override fun complete() {
         val response = checkNotNull(head)
         val isStream = admitted.route.retryPolicy is RetryPolicy.Stream && response.isRelayed
-        val isFramed = isFramed(headers)
-        if (isStream && progress.bodyBytes == 0L && !isFramed) {
+        if (isStream && progress.bodyBytes == 0L && !isFramed(headers)) {
             // A stream that breaks off before its first event would otherwise pass for a complete one.
             return failed("the connection was closed before the first event")
         }
         val event = when {
             response.isNotRun -> AttemptEvent.NotRun(response)
             response.isSuccess && !response.isSigned -> AttemptEvent.Failed("a success without a signature")
-            else -> AttemptEvent.Complete(response, responseHead(response, headers), rejection.bytes(), isFramed)
-        }
-        val outcome = when {
-            response.isNotRun -> null
-            response.isServerError -> ReplicaOutcome.FAILED
-            else -> ReplicaOutcome.RESPONDED
+            else -> {
+                val relayed = responseHead(response, headers)
+                AttemptEvent.Complete(response, relayed, rejection.bytes(), isFramed = !hasReplicaEnded)
+            }
         }
         end(outcome) { onEvent(this, event) }
     }
@@ -221,19 +264,7 @@
         then()
     }
 
-    private fun firstByteTimeout(): Duration {
-        if (admitted.request.prompt == null) return PLAIN_FIRST_BYTE_TIMEOUT
-        val expected = choice.cost * EXPECTATION_FACTOR + FIRST_BYTE_MARGIN
-        return expected.coerceIn(minOf(admitted.route.targetLatency, MAX_FIRST_BYTE_TIMEOUT), MAX_FIRST_BYTE_TIMEOUT)
-    }
-
     private companion object {
-        /** Above the slowest response to a request without a prompt, which takes 315 ms; the average is 43 ms. */
-        val PLAIN_FIRST_BYTE_TIMEOUT = 400.milliseconds
-        const val EXPECTATION_FACTOR = 2
-        val FIRST_BYTE_MARGIN = 300.milliseconds
-        val MAX_FIRST_BYTE_TIMEOUT = 2.seconds
-
         val RETRYABLE_MAX_IDLE = 10.seconds
 
         /** Non-retryable requests use only connections that the replica certainly still holds open. */
@@ -241,6 +272,12 @@
     }
 }
 
+private fun firstByteTimeout(admitted: AdmittedRequest, choice: ScoredReplica): Duration {
+    if (admitted.request.prompt == null) return PLAIN_FIRST_BYTE_TIMEOUT
+    val expected = choice.cost * EXPECTATION_FACTOR + FIRST_BYTE_MARGIN
+    return expected.coerceIn(minOf(admitted.route.targetLatency, MAX_FIRST_BYTE_TIMEOUT), MAX_FIRST_BYTE_TIMEOUT)
+}
+
 private val ReplicaResponseHead.isRelayed: Boolean get() = isSuccess && isSigned
 
 private fun responseHead(head: ReplicaResponseHead, headers: HttpHeaders) =
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AttemptHandler.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/AttemptHandler.kt
@@ -36,6 +36,7 @@
                 if (running.isReplacing) attempt.silence.awaitFirstEvent()
             }
             is AttemptEvent.BytesReceived -> relayBytes(attempt, event.bytes)
+            AttemptEvent.Ended -> context.crashes.ended(attempt, admitted)
             is AttemptEvent.Complete -> complete(attempt, event)
             is AttemptEvent.Failed -> {
                 attempts.countPossibleRun(attempt)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/CrashExaminer.kt
@@ -13,26 +13,38 @@
     private val telemetry: GatewayTelemetry,
 ) {
     private val pauses = HashMap<ServiceName, FirstEventPauses>()
-    private val unconfirmed = LinkedHashSet<RunningRequest>()
+    private val unconfirmed = LinkedHashMap<Attempt, EndedResponse>()
 
     /** Requests with responses without a length that have come to their end, but of whose replicas no more is known. */
-    val unconfirmedAnswers: Collection<RunningRequest> get() = unconfirmed
+    val unconfirmedAnswers: Collection<RunningRequest> get() = unconfirmed.values.map { it.request }
+
+    /** A response without a length that has ended; a crash of its replica ends it too. */
+    private class EndedResponse(val request: RunningRequest) {
+        /** Whether the caller got it as a whole. */
+        var isAnswer = false
+    }
+
+    /** Records that [attempt] was answered completely. */
+    fun answered(attempt: Attempt, admitted: AdmittedRequest, isFramed: Boolean) {
+        if (isFramed) recordAnswer(attempt, admitted) else unconfirmed[attempt]?.isAnswer = true
+    }
 
     /**
-     * Records that [attempt] was answered completely. A response without a length is ended by a crash too, and counts
-     * as an answer only once it is known that its replica lives.
+     * Examines the replica of [attempt], which has ended its side of the connection and a response without a length
+     * with it. The response counts as an answer only once it is known that its replica lives; whether it is whole shows
+     * later.
      */
-    fun answered(attempt: Attempt, admitted: AdmittedRequest, isFramed: Boolean) {
-        if (isFramed) return recordAnswer(attempt, admitted)
+    fun ended(attempt: Attempt, admitted: AdmittedRequest) {
         val record = attempt.choice.record
         val cutOff = CutOffAttempt(attempt, MonotonicTime.now(), othersRunning = record.ownLoad.requests)
-        val answer = RunningRequest(record.entry.incarnation, admitted.suspects, attempt.startedAt)
-        unconfirmed += answer
+        val request = RunningRequest(record.entry.incarnation, admitted.suspects, attempt.startedAt)
+        val response = EndedResponse(request)
+        unconfirmed[attempt] = response
         probes.confirm(
             record.entry,
             onEnded = { report(cutOff, admitted) },
-            onAlive = { recordAnswer(attempt, admitted) },
-            onOver = { unconfirmed -= answer },
+            onAlive = { if (response.isAnswer) recordAnswer(attempt, admitted) },
+            onOver = { unconfirmed -= attempt },
         )
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPipeline
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
@@ -33,6 +34,12 @@
     /** The next bytes of the body were received. */
     fun body(bytes: ByteArray)
 
+    /**
+     * The replica has ended its side of the connection, and the response, which has no length, with it. [complete] or
+     * [failed] follows once it is known whether the connection was reset.
+     */
+    fun ended() = Unit
+
     /** The response is complete. */
     fun complete()
 
@@ -48,17 +55,19 @@
  *
  * @param onHead called with the head of each response, also of one to another request
  * @param onStray called with each response that belongs to another request or to none
+ * @param onEnded called when the replica has ended its side of the connection and a response with it
  * @param onIdle called when the connection can be used again
  */
 internal class ReplicaConnection(
     private val onHead: (ReplicaResponseHead) -> Unit = {},
     private val onStray: (StrayResponse) -> Unit = {},
+    private val onEnded: () -> Unit = {},
     private val onIdle: (ReplicaConnection, ReplicaResponseHead) -> Unit,
 ) : SimpleChannelInboundHandler<Any>() {
     private var decoder: ReplicaResponseDecoder? = null
     private var listener: ReplicaResponseListener? = null
     private var pending: PendingResponse? = null
-    private var isWritten = false
+    private var sent: SentRequest? = null
 
     /** The response that is being completed, while what follows it is looked at. */
     private var completed: PendingResponse? = null
@@ -94,11 +103,6 @@
         channel = context.channel()
     }
 
-    /** Adds the handlers of an HTTP connection and this one to [pipeline]. */
-    fun install(pipeline: ChannelPipeline) {
-        pipeline.addLast(HttpRequestEncoder(), this)
-    }
-
     /**
      * Sends [request]; the response must name [id], or no request if it is null.
      *
@@ -112,8 +116,7 @@
         val decoder = ReplicaResponseDecoder { carried.wasSentWith(HttpMethod.HEAD, it.decode().request) }
         this.decoder = decoder
         channel.pipeline().addBefore(channel.pipeline().context(this).name(), null, decoder)
-        isWritten = false
-        channel.writeAndFlush(request).addListener { isWritten = it.isSuccess }
+        sent = SentRequest(channel, request)
     }
 
     /** Closes the connection, upon which the replica drops the current request; the listener gets no more calls. */
@@ -129,23 +132,36 @@
             isClosed -> Unit
             message is HttpObject && response != null -> when (val state = response.read(message)) {
                 PendingState.Incomplete -> Unit
-                is PendingState.Complete -> complete(response, state.head)
+                is PendingState.Complete -> {
+                    val endsWithConnection = !response.isFramed && channel.isInputEnded
+                    if (endsWithConnection) end(response, state.head) else complete(response, state.head)
+                }
                 is PendingState.Invalid -> fail(state.reason)
             }
-            else -> receiveUnasked(ByteBufUtil.getBytes(message as ByteBuf))
+            else -> {
+                val bytes = ByteBufUtil.getBytes(message as ByteBuf)
+                isJoined = completed?.isContinuedBy(bytes) ?: false
+                Heads(expected = null).unasked(bytes.size)
+                fail("received bytes while no request was pending")
+            }
         }
     }
 
-    private fun receiveUnasked(bytes: ByteArray) {
-        isJoined = completed?.isContinuedBy(bytes) ?: false
-        Heads(expected = null).unasked(bytes.size)
-        fail("received bytes while no request was pending")
+    /** Completes [response], which ended with the replica's side of the connection, unless the connection is reset. */
+    private fun end(response: PendingResponse, head: ReplicaResponseHead) {
+        val request = sent?.takeIf { it.isWritten }
+            ?: return fail("the connection was closed before the request was sent")
+        onEnded()
+        listener?.ended()
+        if (isClosed) return
+        request.awaitReset(
+            onReset = { if (!isClosed) fail("the connection was reset after its end") },
+            onNone = { if (!isClosed) complete(response, head) },
+        )
     }
 
     private fun complete(response: PendingResponse, head: ReplicaResponseHead) {
         val receiver = listener ?: return
-        // The end of the connection is not that of the response if it was reset, which a write may be the first to see.
-        if (!response.isFramed && !isWritten) return fail("the connection was closed before the request was sent")
         listener = null
         pending = null
         isReading = true
@@ -154,7 +170,7 @@
         decoder?.let { channel.pipeline().remove(it) }
         decoder = null
         completed = null
-        if (response.isReusable && isWritten && !isClosed) onIdle(this, head) else close()
+        if (response.isReusable && sent?.isWritten == true && !isClosed) onIdle(this, head) else close()
         if (isJoined) receiver.failed("the body ends within another response") else receiver.complete()
     }
 
@@ -168,6 +184,13 @@
         if (!isClosed) fail("the connection was closed")
     }
 
+    /** Called when the replica has ended its side of the connection, after the decoder has completed a response. */
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        val isEnd = event == ChannelInputShutdownEvent.INSTANCE && sent?.isAwaitingReset != true
+        if (isEnd && !isClosed) fail("the connection was closed")
+        super.userEventTriggered(context, event)
+    }
+
     /** Called when a read finds the connection reset, before the decoder takes that for the end of a response. */
     @Deprecated("Deprecated in Netty for outbound handlers only")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
@@ -185,6 +208,11 @@
     }
 }
 
+/** Adds the handlers of an HTTP connection and this one to [pipeline]. */
+internal fun ReplicaConnection.install(pipeline: ChannelPipeline) {
+    pipeline.addLast(HttpRequestEncoder(), this)
+}
+
 /** Whether [headers] tell where the response ends; otherwise it ends when the connection closes. */
 internal fun isFramed(headers: HttpHeaders): Boolean =
     headers.contains(HttpHeaderNames.CONTENT_LENGTH) ||
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaPool.kt
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioChannelOption
-import io.netty.channel.socket.nio.NioSocketChannel
 import jdk.net.ExtendedSocketOptions
 import org.guavapath.core.connections.SilencePolicy
 import org.guavapath.core.connections.SilenceWatch
@@ -69,7 +68,22 @@
 internal class ReplicaPool(private val loop: EventLoop) {
     private class ConnectionSet(val silence: SilenceWatch) {
         val idle = ArrayDeque<ReplicaConnection>()
+
+        /** Connections that replicas have not ended. */
         var open = 0
+            private set
+
+        fun take() = Place().also { open += 1 }
+
+        /** The place of one connection among [open] ones. */
+        inner class Place {
+            private var isTaken = true
+
+            fun release() {
+                if (isTaken) open -= 1
+                isTaken = false
+            }
+        }
     }
 
     /** All connections to one address of a replica. */
@@ -178,13 +192,14 @@
         listener: ReplicaResponseListener,
         call: PooledCall,
     ) {
-        pooled.open += 1
         opened += 1
+        val place = pooled.take()
         val replica = request.replica
         val isPooled = request.connection is ConnectionChoice.Pooled
         val connection = ReplicaConnection(
             onHead = { onHead(replica, it) },
             onStray = { onStray(replica, it) },
+            onEnded = place::release,
             onIdle = { connection, head ->
                 if (isPooled) recycle(replica.id, pooled, connection, head) else connection.close()
             },
@@ -192,7 +207,7 @@
         val address = SocketAddress.of(replica.address)
         val connecting = bootstrap(connection).connect(address.host, address.port)
         connecting.channel().closeFuture().addListener {
-            pooled.open -= 1
+            place.release()
             pooled.idle.remove(connection)
         }
         connecting.addListener { future ->
@@ -236,7 +251,9 @@
 
     private fun bootstrap(connection: ReplicaConnection): Bootstrap = Bootstrap()
         .group(loop)
-        .channel(NioSocketChannel::class.java)
+        .channel(ReplicaSocketChannel::class.java)
+        // A reset that follows the end of a response is only seen while the connection is open.
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_SECONDS)
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseRelay.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ResponseRelay.kt
@@ -20,6 +20,9 @@
     /** Whether bytes have arrived but no whole event of a stream of which nothing was relayed. */
     val isWithinFirstEvent: Boolean
 
+    /** Whether the bytes of a stream that have arrived end within an event. */
+    val isWithinEvent: Boolean
+
     /** Sets the head; it is not relayed once the response has begun. */
     fun offerHead(offered: ResponseHead)
 
@@ -70,6 +73,7 @@
         private val body = BodyBuffer()
 
         override val isWithinFirstEvent: Boolean get() = false
+        override val isWithinEvent: Boolean get() = false
 
         override fun offerHead(offered: ResponseHead) {
             head = offered
@@ -111,7 +115,8 @@
         private val assembler = EventAssembler()
         private var head: ResponseHead? = null
 
-        override val isWithinFirstEvent: Boolean get() = !hasBegun && assembler.hasPartialEvent
+        override val isWithinFirstEvent: Boolean get() = !hasBegun && isWithinEvent
+        override val isWithinEvent: Boolean get() = assembler.hasPartialEvent
 
         override fun offerHead(offered: ResponseHead) {
             head = offered
@@ -139,7 +144,7 @@
         }
 
         override fun end(): Boolean {
-            if (assembler.hasPartialEvent) return false
+            if (isWithinEvent) return false
             begin()
             sink.end()
             return true
--- a/daemon/src/main/kotlin/org/guavapath/daemon/pipeline/ServiceDispatch.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/pipeline/ServiceDispatch.kt
@@ -9,6 +9,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.runInterruptible
 import okhttp3.ConnectionPool
+import okhttp3.EventListener
 import okhttp3.Interceptor
 import okhttp3.MediaType.Companion.toMediaTypeOrNull
 import okhttp3.OkHttpClient
@@ -23,7 +24,6 @@
 import org.guavapath.core.results.ResultCode
 import org.guavapath.core.results.Served
 import org.guavapath.daemon.blockingCalls
-import org.guavapath.daemon.engine.SendTracker
 import org.guavapath.daemon.observe.DecisionLog
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
@@ -50,16 +50,7 @@
 /** Dispatches requests of service routes. */
 internal class ServiceDispatch(private val running: RunningRequests, private val decisions: DecisionLog) {
     private val logger = KotlinLogging.logger {}
-    private val repeatableClient = OkHttpClient.Builder()
-        .retryOnConnectionFailure(false)
-        .followRedirects(false)
-        .connectTimeout(CONNECT_TIMEOUT.toJavaDuration())
-        .readTimeout(READ_TIMEOUT.toJavaDuration())
-        .eventListenerFactory { SendTracker.Listener }
-        .addInterceptor(RetryAfterHolder.Restore)
-        .addNetworkInterceptor(RetryAfterHolder.Hold)
-        .addNetworkInterceptor(ValidStatus)
-        .build()
+    private val repeatableClient = serviceClient()
     private val oneShotClient = repeatableClient.newBuilder()
         .connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS))
         .build()
@@ -109,7 +100,7 @@
     }
 
     private suspend fun attempt(routed: RoutedRequest, endpoint: Endpoint, responder: Responder): ServiceResult {
-        val tracker = SendTracker()
+        val tracker = ServiceCallTracker()
         val client = if (routed.route.repeatable) repeatableClient else oneShotClient
         val call = client.newCall(outgoingRequest(routed, endpoint, tracker))
         val entry = RunningRequest(routed.key?.hash) { call.cancel() }
@@ -117,6 +108,7 @@
         outstandingAt(endpoint).incrementAndGet()
         return try {
             runInterruptible(blockingCalls) { call.execute() }.use { relayResponse(routed, endpoint, it, responder) }
+            if (tracker.isReset) throw IOException("the connection was reset after its end")
             ServiceResult.Complete
         } catch (exception: CallerDisconnectedException) {
             throw exception
@@ -129,10 +121,11 @@
         }
     }
 
-    private fun outgoingRequest(routed: RoutedRequest, endpoint: Endpoint, tracker: SendTracker): Request {
+    private fun outgoingRequest(routed: RoutedRequest, endpoint: Endpoint, tracker: ServiceCallTracker): Request {
         val request = routed.request
         val query = request.target.query?.let { "?$it" }.orEmpty()
-        val builder = Request.Builder().url(endpoint.url + request.path + query).tag(SendTracker::class.java, tracker)
+        val builder = Request.Builder().url(endpoint.url + request.path + query)
+            .tag(ServiceCallTracker::class.java, tracker)
         request.headers.filter { it.name.lowercase() in FORWARDED_REQUEST_HEADERS }
             .forEach { builder.addHeader(it.name, it.value) }
         builder.header(REQUEST_ID_HEADER, request.id.text)
@@ -163,6 +156,19 @@
     }
 }
 
+/** Returns a client for services. A call is tracked by the [ServiceCallTracker] that its request is tagged with. */
+internal fun serviceClient(): OkHttpClient = OkHttpClient.Builder()
+    .retryOnConnectionFailure(false)
+    .followRedirects(false)
+    .connectTimeout(CONNECT_TIMEOUT.toJavaDuration())
+    .readTimeout(READ_TIMEOUT.toJavaDuration())
+    .socketFactory(ChannelSocketFactory)
+    .eventListenerFactory { it.request().tag(ServiceCallTracker::class.java) ?: EventListener.NONE }
+    .addInterceptor(RetryAfterHolder.Restore)
+    .addNetworkInterceptor(RetryAfterHolder.Hold)
+    .addNetworkInterceptor(ValidStatus)
+    .build()
+
 /** How one attempt at a service ended. */
 private sealed class ServiceResult {
     /** The response was relayed to the caller. */
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/EarlyResponseTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/EarlyResponseTest.kt
@@ -31,6 +31,9 @@
     /** It ends its side first. */
     END_OF_SIDE,
 
+    /** It ends its side, and closes the connection a little later. */
+    END_OF_SIDE_BEFORE_CLOSE,
+
     /** It resets the connection. */
     RESET,
 }
@@ -55,6 +58,11 @@
     private class Listener : ReplicaResponseListener {
         val result = CompletableFuture<String>()
 
+        /** Called when the replica has ended its side of the connection. */
+        var onEnded: () -> Unit = {}
+
+        override fun ended() = onEnded()
+
         override fun notSent(reason: String, isOwnDecision: Boolean) = record("not sent")
 
         override fun head(head: ReplicaResponseHead, headers: HttpHeaders) = Unit
@@ -88,6 +96,10 @@
             when (end) {
                 End.CLOSE -> Unit
                 End.END_OF_SIDE -> socket.shutdownOutput()
+                End.END_OF_SIDE_BEFORE_CLOSE -> {
+                    socket.shutdownOutput()
+                    Thread.sleep(TIME_TO_CLOSE_MILLISECONDS)
+                }
                 End.RESET -> socket.setSoLinger(true, 0)
             }
         }
@@ -99,14 +111,17 @@
         return head.lines()
     }
 
-    private fun outcome(bodyBytes: Int, unread: Int, end: End): String {
-        answer(bodyBytes, unread, end)
-        val listener = Listener()
+    private fun request(bodyBytes: Int, maxConnections: Int = 10): ReplicaRequest {
         val (name, value) = SampleFleet.attemptIdHeader("a")
         val body = ByteArray(bodyBytes).takeIf { bodyBytes > 0 }
         val http = ReplicaRequests.call(HttpMethod.POST, "/", DefaultHttpHeaders().set(name, value), body)
-        val request = ReplicaRequest(replica, http, RequestId("a"), ConnectionChoice.New, maxConnections = 10)
-        loop.execute { pool.send(request, listener) }
+        return ReplicaRequest(replica, http, RequestId("a"), ConnectionChoice.New, maxConnections)
+    }
+
+    private fun outcome(bodyBytes: Int, unread: Int, end: End): String {
+        answer(bodyBytes, unread, end)
+        val listener = Listener()
+        loop.execute { pool.send(request(bodyBytes), listener) }
         return listener.result.get(5, TimeUnit.SECONDS)
     }
 
@@ -127,14 +142,31 @@
     @Test
     fun aResponseIsWholeOnceItsReplicaHasTakenTheRequest() {
         for (bodyBytes in listOf(0, 10_000, 4_000_000)) {
-            for (end in listOf(End.CLOSE, End.END_OF_SIDE)) {
+            for (end in End.entries - End.RESET) {
                 val outcomes = List(RUNS) { outcome(bodyBytes, unread = 0, end) }.distinct()
                 assertEquals(listOf("complete"), outcomes, "$end after $bodyBytes bytes")
             }
         }
     }
 
+    /** Guards against places at a replica, and evidence of its crash, that wait until its response is whole. */
+    @Test
+    fun theEndOfAReplicasSideIsToldBeforeItsResponseIsKnownAsWhole() {
+        val first = Listener()
+        val second = Listener()
+        first.onEnded = {
+            assertEquals(false, first.result.isDone)
+            answer(bodyBytes = 0, unread = 0, End.CLOSE)
+            pool.send(request(bodyBytes = 0, maxConnections = 1), second)
+        }
+        answer(bodyBytes = 0, unread = 0, End.CLOSE)
+        loop.execute { pool.send(request(bodyBytes = 0, maxConnections = 1), first) }
+        val results = listOf(first, second).map { it.result.get(5, TimeUnit.SECONDS) }
+        assertEquals(listOf("complete", "complete"), results)
+    }
+
     private companion object {
         const val RUNS = 8
+        const val TIME_TO_CLOSE_MILLISECONDS = 5L
     }
 }
