A watch whose answer is lost leaves a gateway behind for a few seconds at most

Cause: a watch waited 20 s and was given up after 22 s. One whose answer is lost looks like one without changes until then, unless another call of the process fails, and a quiet gateway makes none. All gateways watch on after the same change, so that none can tell the others.

Fix: a watch waits 2 s, for all callers of the client, and is given up when nothing arrives for another second. A change is then known some 3.5 s after the last moment at which an answer could be lost; contactMs and drainMs or configApplyMs leave 5 s. The store of the simulation ends watches likewise. A watch without changes is repeated after 20 ms for lists too.

--- a/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
+++ b/core/src/main/kotlin/org/guavapath/core/store/ObjectStore.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonNull
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Number of times that the store has returned from an older copy of itself. Revision numbers are given out again then.
@@ -148,7 +149,7 @@
     /** Lists all objects of [kind]. */
     public suspend fun list(kind: ObjectKind): Result<Listing, StoreError>
 
-    /** Waits up to [timeout] for changes of [kind] since the revision [after]. */
+    /** Waits up to [timeout], and no longer than [MAX_WATCH], for changes of [kind] since the revision [after]. */
     public suspend fun watch(kind: ObjectKind, after: Revision, timeout: Duration): Result<WatchResult, StoreError>
 
     /** Reads an object, or returns null if it does not exist. */
@@ -175,4 +176,13 @@
 
     /** Removes an object if the revision of its last change is [condition]. */
     public suspend fun remove(kind: ObjectKind, name: String, condition: Revision): Result<Unit, StoreError>
+
+    /** Holds the limits of calls. */
+    public companion object {
+        /** Longest wait of a watch: one whose answer is lost is told from one without changes only after that. */
+        public val MAX_WATCH: Duration = 2.seconds
+
+        /** Time after the end of its wait within which a watch is answered; a slow store takes half of it. */
+        public val WATCH_MARGIN: Duration = 1.seconds
+    }
 }
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetStore.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetStore.kt
@@ -5,6 +5,7 @@
 import org.guavapath.core.fleet.WeightsNumber
 import org.guavapath.core.identity.ModelName
 import org.guavapath.core.identity.VmId
+import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.store.Revision
 import org.guavapath.core.store.StoreEra
 import org.guavapath.core.time.MonotonicTime
@@ -111,14 +112,16 @@
     fun list(vm: VmId, kind: FleetKind, answer: (StoreAnswer<FleetListing>) -> Unit) =
         call(vm, answer) { StoreAnswer.Success(listing(kind, Revision.NONE), revision.era) }
 
-    /** Answers with the changes after [after] once there are any, with null if they are not known. */
+    /** Answers with the changes after [after], without any after a while, or with null if they are not known. */
     fun watch(vm: VmId, kind: FleetKind, after: Revision, answer: (StoreAnswer<FleetListing?>) -> Unit) {
         when {
             accessOf(vm) == StoreAccess.FAILING -> call(vm, answer) { StoreAnswer.Failure }
             accessOf(vm) == StoreAccess.SILENT -> Unit
             after.era < revision.era -> call(vm, answer) { StoreAnswer.Success(null, revision.era) }
             else -> {
-                watches.add(Watch(vm, kind, after, answer))
+                val watch = Watch(vm, kind, after, answer)
+                watches.add(watch)
+                clock.schedule(clock.now + ObjectStore.MAX_WATCH) { waited(watch) }
                 changed()
             }
         }
@@ -154,6 +157,12 @@
         }
     }
 
+    /** A watch whose time is over while the store is silent is never answered. */
+    private fun waited(watch: Watch) {
+        if (!watches.remove(watch) || accessOf(watch.vm) == StoreAccess.SILENT) return
+        end(watch, StoreAnswer.Success(listing(watch.kind, watch.after), revision.era))
+    }
+
     private fun end(watch: Watch, result: StoreAnswer<FleetListing?>) {
         watches.remove(watch)
         clock.schedule(clock.now + latency()) { watch.answer(result) }
--- a/core/src/test/kotlin/org/guavapath/core/weights/FleetView.kt
+++ b/core/src/test/kotlin/org/guavapath/core/weights/FleetView.kt
@@ -1,6 +1,7 @@
 package org.guavapath.core.weights
 
 import org.guavapath.core.identity.VmId
+import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.store.Revision
 import org.guavapath.core.time.MonotonicTime
 import kotlin.time.Duration
@@ -79,6 +80,10 @@
         if (changes == null) {
             list()
         } else if (changes.asOf > asOf && changes.asOf.era == asOf.era) {
+            if (changes.newestChange <= asOf) {
+                asOf = changes.asOf
+                return
+            }
             apply(changes, isWitnessed = true)
             process.delay(if (kind == FleetKind.REPLICAS) LIST_WATCH_DELAY else DEFAULT_DELAY)
         }
@@ -110,7 +115,7 @@
         val RETRY_DELAY: Duration = 250.milliseconds
         val OUTAGE_THRESHOLD = 1.seconds
         val CALL_TIMEOUT = 2.seconds
-        val WATCH_TIMEOUT = 22.seconds
+        val WATCH_TIMEOUT = ObjectStore.MAX_WATCH + ObjectStore.WATCH_MARGIN
         val DEFAULT_DELAY = 20.milliseconds
         val LIST_WATCH_DELAY = 300.milliseconds
         val EXPECTED_WATCH_DELAY = 600.milliseconds
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -14,13 +14,13 @@
 import kotlinx.coroutines.flow.merge
 import org.guavapath.core.store.Listing
 import org.guavapath.core.store.ObjectKind
+import org.guavapath.core.store.ObjectStore
 import org.guavapath.core.store.Revision
 import org.guavapath.core.store.StoreError
 import org.guavapath.core.store.StoredObject
 import org.guavapath.core.store.WatchResult
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * This VM's copy of the store's objects of one kind.
@@ -28,10 +28,11 @@
  * It is listed once and watched from then on. It is listed again when the store has dropped the history, has failed or
  * has returned from an older copy, as revisions of former eras tell nothing about the history of this one. While calls
  * to the store fail, all views of a process together wait for the next one.
+ * A watch waits so briefly that one whose answer is lost leaves the copy behind for a few seconds at most.
  * A gateway that follows a hub makes no calls, as the hub sends the changes. Other gateways may send a newer copy at
  * any time. The copy never goes back to an older revision.
  *
- * @param delayBetweenWatches delay between two watches; the next one returns all changes made meanwhile
+ * @param delayBetweenWatches delay after a watch with changes; the next one returns all changes made meanwhile
  * @param onChange called on the event loop after each change of the copy
  */
 internal class StoreView(
@@ -131,7 +132,7 @@
             .map { Err(StoreError.Unknown("another call has got no answer")) }
         val laterEra: Flow<Result<WatchResult, StoreError>> =
             store.era.filter { it > era }.map { Ok(WatchResult.HistoryGone) }
-        merge(flow { emit(store.watch(kind, asOf, WATCH_TIMEOUT)) }, laterEra, silence).first().fold(
+        merge(flow { emit(store.watch(kind, asOf, ObjectStore.MAX_WATCH)) }, laterEra, silence).first().fold(
             success = {
                 health.succeeded()
                 watched(it)
@@ -155,7 +156,7 @@
                 val before = asOf
                 apply(result)
                 onWatched(before, result)
-                delay(delayBetweenWatches)
+                delay(if (result.changes.isEmpty()) DEFAULT_DELAY else delayBetweenWatches)
             }
         }
     }
@@ -201,7 +202,6 @@
 
     private companion object {
         val DEFAULT_DELAY = 20.milliseconds
-        val WATCH_TIMEOUT = 20.seconds
 
         /** Delay after a listing of an earlier era than is known. */
         val OUTDATED_DELAY = 250.milliseconds
