One socket factory for HTTP clients that connect their sockets themselves

The clients of the store and of services had the same four rejecting functions. No change of behaviour; ServiceCallTrackerTest, ObjectStoreClientTest, EarlyResponseTest and LostWatchTest hold.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/pipeline/ServiceCallTracker.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/pipeline/ServiceCallTracker.kt
@@ -6,10 +6,7 @@
 import okhttp3.Response
 import org.guavapath.daemon.connections.RESET_DELAY
 import org.guavapath.daemon.connections.isReset
-import java.net.InetAddress
 import java.net.Socket
-import java.nio.channels.SocketChannel
-import javax.net.SocketFactory
 
 /**
  * Tracks one call to a service: whether any part of its request may have left this VM, and whether its response is a
@@ -59,21 +56,3 @@
         val STATUSES_WITHOUT_BODY = setOf(204, 304)
     }
 }
-
-/** Creates sockets with channels; only unconnected ones are supported. */
-internal object ChannelSocketFactory : SocketFactory() {
-    override fun createSocket(): Socket = SocketChannel.open().socket()
-
-    override fun createSocket(host: String, port: Int): Socket = rejectConnectedSocket()
-
-    override fun createSocket(host: String, port: Int, localHost: InetAddress, localPort: Int): Socket =
-        rejectConnectedSocket()
-
-    override fun createSocket(host: InetAddress, port: Int): Socket = rejectConnectedSocket()
-
-    override fun createSocket(address: InetAddress, port: Int, localAddress: InetAddress, localPort: Int): Socket =
-        rejectConnectedSocket()
-
-    private fun rejectConnectedSocket(): Nothing =
-        throw UnsupportedOperationException("only unconnected sockets can be created")
-}
--- a/daemon/src/main/kotlin/org/guavapath/daemon/pipeline/ServiceDispatch.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/pipeline/ServiceDispatch.kt
@@ -18,6 +18,7 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import org.guavapath.core.config.Endpoint
+import org.guavapath.core.connections.UnconnectedSocketFactory
 import org.guavapath.core.results.DispatchCode
 import org.guavapath.core.results.HttpStatus
 import org.guavapath.core.results.IdentityCode
@@ -26,6 +27,7 @@
 import org.guavapath.daemon.blockingCalls
 import org.guavapath.daemon.observe.DecisionLog
 import java.io.IOException
+import java.nio.channels.SocketChannel
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
@@ -162,7 +164,7 @@
     .followRedirects(false)
     .connectTimeout(CONNECT_TIMEOUT.toJavaDuration())
     .readTimeout(READ_TIMEOUT.toJavaDuration())
-    .socketFactory(ChannelSocketFactory)
+    .socketFactory(UnconnectedSocketFactory { SocketChannel.open().socket() })
     .eventListenerFactory { it.request().tag(ServiceCallTracker::class.java) ?: EventListener.NONE }
     .addInterceptor(RetryAfterHolder.Restore)
     .addNetworkInterceptor(RetryAfterHolder.Hold)
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/LostWatchTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/LostWatchTest.kt
@@ -119,10 +119,10 @@
         /** The views have learned of the change and not yet begun, or just begun, the next watch. */
         val ANSWER_TIME = 15.milliseconds
 
-        /** The platform's `contactMs`. */
+        /** Time from the end of a disturbance after which changes must be learned in time. */
         val CONTACT_TIME = 3.seconds
 
-        /** The platform's `configApplyMs` and `drainMs`. */
+        /** Time within which a change of the configuration or the list of replicas must be learned. */
         val TIME_TO_APPLY = 2.seconds
     }
 }
