The second connection to a replica that ended a response is tried after 25 ms

Cause: a pause of 10 ms takes five connections in 300 ms, and a refusal after more than 25 ms did not count.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaProbes.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ReplicaProbes.kt
@@ -65,8 +65,8 @@
         probeOf(replica).add(Inquiry(onEnded, onSettled = {}, onOutlived = {}, Pace(SETTLING_TIME, WATCH_TIME)))
 
     /**
-     * Examines [replica], which has ended a response by closing its connection. An end that shows later than with the
-     * second connection is not one of that response, which was most likely whole.
+     * Examines [replica], which has ended a response by closing its connection, with few connections. An end that
+     * shows later than with the second one is not one of that response, which was most likely whole.
      *
      * @param onEnded called if the replica has ended
      * @param onAlive called in place of [onEnded] if the replica is still reached [CONFIRMATION_TIME] later; neither is
@@ -75,7 +75,14 @@
      */
     fun confirm(replica: Replica, onEnded: () -> Unit, onAlive: () -> Unit, onOver: () -> Unit = {}) {
         val onOutlived: (Survival) -> Unit = { if (it.isAccepting) onAlive() }
-        val pace = Pace(CONFIRMATION_TIME, CONFIRMATION_TIME, TIME_TO_REFUSE)
+        val pace = Pace(
+            CONFIRMATION_TIME,
+            CONFIRMATION_TIME,
+            TIME_TO_REFUSE,
+            QUIET_PAUSE,
+            growth = QUIET_GROWTH,
+            reuseTime = QUIET_REUSE_TIME,
+        )
         probeOf(replica).add(Inquiry(onEnded, onSettled = onOver, onOutlived, pace))
     }
 
@@ -86,11 +93,17 @@
      *
      * @property attribution time within which a connection must be refused if the replica is to have ended when that of
      *   the request closed
+     * @property firstPause time between the first two connections
+     * @property growth how many times as long each further pause is
+     * @property reuseTime time for which a connection also serves inquiries that begin after it
      */
     private class Pace(
         val settlingTime: Duration,
         val duration: Duration,
         val attribution: Duration = WATCH_TIME,
+        val firstPause: Duration = FIRST_PAUSE,
+        val growth: Int = 2,
+        val reuseTime: Duration = firstPause,
     )
 
     private class Inquiry(
@@ -129,11 +142,13 @@
             connectUntil = now + WATCH_TIME
             after(inquiry.pace.settlingTime) { inquiry.settle() }
             after(inquiry.pace.duration) { outlived(listOf(inquiry)) }
-            if (connectedAt.let { it == null || now - it > FIRST_PAUSE }) connect(++series, FIRST_PAUSE)
+            val pace = inquiry.pace
+            val isConnectionNew = connectedAt.let { it != null && now - it <= pace.reuseTime }
+            if (!isConnectionNew) connect(++series, pace.firstPause, pace.growth)
         }
 
-        /** Tries a connection, and further ones after [pause] unless another series has begun. */
-        private fun connect(number: Int, pause: Duration) {
+        /** Tries a connection, and further ones after [pause] and more unless another series has begun. */
+        private fun connect(number: Int, pause: Duration, growth: Int) {
             val now = MonotonicTime.now()
             if (isOver || number != series || now >= connectUntil) return
             if (list.showsEnd(wasAccepted)) return ended(inquiries)
@@ -143,7 +158,7 @@
                 ChannelFutureListener { attempt ->
                     attempt.channel().close()
                     wasAccepted = attempt.isSuccess
-                    if (isRefused(attempt)) refused() else after(pause) { connect(number, pause * 2) }
+                    if (isRefused(attempt)) refused() else after(pause) { connect(number, pause * growth, growth) }
                 },
             )
         }
@@ -200,11 +215,15 @@
 
         private val LIST_INTERVAL = 100.milliseconds
 
-        /** Doubled with each connection. */
         private val FIRST_PAUSE = 10.milliseconds
 
+        /** Whole responses that end within it before a crash count as cut off. */
+        private val QUIET_PAUSE = 25.milliseconds
+        private const val QUIET_GROWTH = 4
+        private val QUIET_REUSE_TIME = 50.milliseconds
+
         /** Covers the first two connections; most replicas that run on and end later have not ended by then. */
-        private val TIME_TO_REFUSE = 25.milliseconds
+        private val TIME_TO_REFUSE = 100.milliseconds
 
         /** The port of a replica that has ended may accept connections for 250 ms. */
         val CONFIRMATION_TIME = 300.milliseconds
