A gateway that is behind asks the one that is ahead, whatever the others have

Cause: a gateway that lacks a change for 0.6 s asks the one that has it for its copy. The wait was forgotten whenever any other gateway reported a revision that is no newer, as all members of a hub do several times within that time. So it asked only once it had noticed by itself that the store was gone, after up to 4 s.

TroubledHubTest: 16 of 16 members late after 3 s; in its trace the hub asks 4.0 s after the change, 0.08 s after it takes the store for unavailable. ViewExchangeTest: no gateway asked within 1 s if one of the others is no further. Ruled out: the watch of 2 s and its margin, which other hubs do not wait for.

Fix: the wait ends only when the copy has the missing change. Both tests hold; the hub knows after 0.9 s and its members after 1.9 s.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ViewExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ViewExchange.kt
@@ -24,7 +24,10 @@
     private val topology: PeerTopology,
     private val store: EraTrackingStore,
 ) {
-    private val behindSince = HashMap<StoreView, MonotonicTime>()
+    /** Since when a change of another gateway's copy, made at [revision], is missing here. */
+    private class MissingChange(val revision: Revision, val since: MonotonicTime)
+
+    private val missingChanges = HashMap<StoreView, MissingChange>()
 
     init {
         views.forEach { view ->
@@ -112,14 +115,12 @@
     }
 
     private fun catchUp(view: StoreView, from: VmId, peerRevision: Revision, now: MonotonicTime) {
-        if (peerRevision <= view.asOf) {
-            behindSince.remove(view)
-            return
-        }
-        val since = behindSince.getOrPut(view) { now }
-        if (view.isAvailable && now - since < EXPECTED_WATCH_DELAY) return
-        behindSince[view] = now
-        peers.send(from, PeerMessage.ViewWanted(view.kind.text))
+        if (peerRevision <= view.asOf) return
+        // Only the copy's own progress ends the wait: a gateway that lacks the change as well says nothing about it.
+        val missing = missingChanges[view]?.takeIf { it.revision > view.asOf } ?: MissingChange(peerRevision, now)
+        val isAsking = !view.isAvailable || now - missing.since >= EXPECTED_WATCH_DELAY
+        missingChanges[view] = if (isAsking) MissingChange(peerRevision, now) else missing
+        if (isAsking) peers.send(from, PeerMessage.ViewWanted(view.kind.text))
     }
 
     private companion object {
