Both hubs of a domain tell all its members of the store's changes

Callers: 404 for routes that a configuration adds, and requests run by what it drops, for longer than allowed at gateways whose hub is frozen or cut off when the configuration changes (CONFIG, in fleets of over 16 gateways).

Cause: a member is linked with both hubs of its domain, but a hub told changes only to those that follow it. A member follows the other hub once its link has been silent for 2 s, and then waits for reports and 0.6 s more: 3.3 s in all, where 3 s are allowed.

Ruled out: the wait that mends, with which this case fails too.

Fix: a hub tells each change to all members of its domain. So that a copy which has the changes from the other hub takes it, a change goes with the revision since which nothing of its kind has changed, in place of the hub's newest, which watches without changes move on; these made nearly every change cost a copy of the whole kind (StoreViewTest.aChangeAfterWatches... failed before). Changes that a copy has are dropped before they are decoded. Messages keep their form, so that builds mix.

--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerTopology.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/PeerTopology.kt
@@ -84,6 +84,12 @@
     val members: Set<VmId>
         get() = if (plan.role == LinkRole.Hub) liveStatuses().filterValues { !it.isHub }.keys else emptySet()
 
+    /**
+     * Gateways that receive the changes of the store from this one: all members of its failure domain, which are linked
+     * with each of its hubs. One that follows another hub then learns of them while that hub is frozen or cut off.
+     */
+    val followers: Set<VmId> get() = members + plan.members
+
     /** Number of VMs that a report to equals covers. */
     val vmsReportedToEquals: Int get() = 1 + members.size
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -53,7 +53,7 @@
     /** Whether this gateway reads the store itself. */
     val isReading = MutableStateFlow(true)
 
-    /** Called with the revision before a watch and the changes that it returned. */
+    /** Called with the changes that a watch returned, and a revision after which there are no others up to the last. */
     var onWatched: (Revision, WatchResult.Changes) -> Unit = { _, _ -> }
 
     /** The objects by name. */
@@ -67,6 +67,9 @@
     var newestChange = Revision.NONE
         private set
 
+    /** A revision from which to [asOf] nothing of the kind has changed; watches without changes leave it as it is. */
+    private var unchangedSince = Revision.NONE
+
     /**
      * Whether the last change of the copy was a change of the store that had just been made. Otherwise the copy was
      * replaced, and what is new in it may have been written long before.
@@ -97,10 +100,13 @@
         }
     }
 
-    /** Applies [changes] that a hub received after the revision [after]; returns false if earlier ones are missing. */
+    /**
+     * Applies [changes] that a hub received after the revision [after]; returns false if earlier ones are missing.
+     * Those that the copy has already are left out.
+     */
     fun adopt(changes: WatchResult.Changes, after: Revision): Boolean {
         val isNext = after <= asOf
-        if (isNext && changes.asOf > asOf) apply(changes)
+        if (isNext && changes.asOf > asOf) apply(changes.copy(changes = changes.changes.filter { it.revision > asOf }))
         return isNext
     }
 
@@ -153,7 +159,7 @@
                 list()
             }
             is WatchResult.Changes -> if (result.asOf > asOf && result.asOf.era == asOf.era) {
-                val before = asOf
+                val before = unchangedSince
                 apply(result)
                 onWatched(before, result)
                 delay(if (result.changes.isEmpty()) DEFAULT_DELAY else delayBetweenWatches)
@@ -180,6 +186,7 @@
         changed = next.values.toList()
         held = next
         asOf = listing.asOf
+        unchangedSince = listing.asOf
         newestChange = next.values.maxOfOrNull { it.revision } ?: newestChange
         if (isChanged) deliver()
         if (isRestored) onRestored()
@@ -191,6 +198,7 @@
         held = Listing(held, asOf).after(result).objects
         asOf = result.asOf
         newestChange = result.changes.maxOfOrNull { it.revision } ?: newestChange
+        unchangedSince = maxOf(unchangedSince, newestChange)
         if (result.changes.isNotEmpty()) deliver()
     }
 
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ViewExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ViewExchange.kt
@@ -97,6 +97,7 @@
         peerEra?.let { store.told(it, from) }
         val view = comparableView(message.kind, peerEra) ?: return
         val era = peerEra ?: view.asOf.era
+        if (Revision(message.asOf, era) <= view.asOf) return
         val isNext = view.adopt(SharedViewCodec.decode(message, era), Revision(message.after, era))
         if (!isNext) peers.send(from, PeerMessage.ViewWanted(message.kind))
     }
@@ -109,9 +110,10 @@
         peerEra != null || store.restoredAt == null || !view.isReading.value
 
     private fun push(view: StoreView, after: Revision, result: WatchResult.Changes) {
-        if (topology.members.isEmpty() || result.changes.isEmpty()) return
+        val followers = topology.followers
+        if (followers.isEmpty() || result.changes.isEmpty()) return
         val message = SharedViewCodec.encode(view.kind, after, result)
-        topology.members.forEach { peers.send(it, message) }
+        followers.forEach { peers.send(it, message) }
     }
 
     private fun catchUp(view: StoreView, from: VmId, peerRevision: Revision, now: MonotonicTime) {
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/StoreViewTest.kt
@@ -147,6 +147,31 @@
         assertEquals(emptyMap(), revisions(), "a copy after all of these changes")
     }
 
+    /** Guards against a whole copy for each change, as watches without changes move on the copy of the hub only. */
+    @Test
+    fun aChangeAfterWatchesWithoutChangesIsTakenAsTheNextOne() = runBlocking {
+        val memory = MemoryStore(SampleFleet("127.0.0.1:1"))
+        val kind = ObjectKind("kind")
+        val read = StoreView(kind, EraTrackingStore(CountingStore(memory), GatewayLog()), GatewayLog()) {}
+        val isTaken = ArrayList<Boolean>()
+        read.onWatched = { after, result ->
+            if (result.changes.isNotEmpty()) isTaken += view.adopt(result, after)
+        }
+        val following = launch { read.follow() }
+        memory.write(kind, "first", JsonPrimitive(1))
+        delay(PROMPT)
+        view.adopt(Listing(read.objects, read.asOf), "hub")
+        isTaken.clear()
+        memory.write(ObjectKind("other"), "other", JsonPrimitive(1))
+        delay(ObjectStore.MAX_WATCH + PROMPT)
+        assertTrue(read.asOf > view.asOf, "a watch without changes has moved on")
+        memory.write(kind, "second", JsonPrimitive(1))
+        delay(PROMPT)
+        assertEquals(listOf(true), isTaken)
+        assertEquals(setOf("first", "second"), view.objects.keys)
+        following.cancel()
+    }
+
     @Test
     fun followCallsTheStoreOnlyWhileReading() = runBlocking {
         view.isReading.value = false
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/TroubledHubTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/TroubledHubTest.kt
@@ -56,7 +56,8 @@
         SampleSettings(vm = "vm-%02d".format(it), seeds = listOf(seed.peers), isFirstStart = true)
     }
     private val silentable = settings.map { SilentableStore(CountingStore(shared)) }
-    private val gateways = settings.zip(silentable) { sampleSettings, store -> Gateway(sampleSettings.read(), store) }
+    private val stalling = silentable.map { StallingStore(shared, it) }
+    private val gateways = settings.zip(stalling) { sampleSettings, store -> Gateway(sampleSettings.read(), store) }
     private var version = 1
 
     init {
@@ -71,6 +72,8 @@
         silentable[hub].isSilent = true
     }
 
+    fun whileFrozen(hub: Int, action: () -> Unit) = stalling[hub].whileStalled(action)
+
     /** Writes a configuration with a workspace of its own. */
     fun configure() {
         version += 1
@@ -112,6 +115,7 @@
                 silenceStore(HUB)
                 configureAndWait()
             },
+            Case("the hub is frozen") { configureAndWait -> whileFrozen(HUB, configureAndWait) },
         )
         val late = cases.map { case ->
             HubFleet().use { fleet ->
