--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/StoreView.kt
@@ -29,8 +29,8 @@
  * has returned from an older copy, as revisions of former eras tell nothing about the history of this one. While calls
  * to the store fail, all views of a process together wait for the next one.
  * A watch waits so briefly that one whose answer is lost leaves the copy behind for a few seconds at most.
- * A gateway that follows a hub makes no calls, as the hub sends the changes. Other gateways may send a newer copy at
- * any time. The copy never goes back to an older revision.
+ * A gateway that follows a hub makes no calls, as the hubs of its domain send the changes. Other gateways may send a
+ * newer copy at any time. The copy never goes back to an older revision.
  *
  * @param delayBetweenWatches delay after a watch with changes; the next one returns all changes made meanwhile
  * @param onChange called on the event loop after each change of the copy
@@ -53,7 +53,7 @@
     /** Whether this gateway reads the store itself. */
     val isReading = MutableStateFlow(true)
 
-    /** Called with the changes that a watch returned, and a revision after which there are no others up to the last. */
+    /** Called after each watch with its changes, and with a revision since which these are the only ones. */
     var onWatched: (Revision, WatchResult.Changes) -> Unit = { _, _ -> }
 
     /** The objects by name. */
--- a/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ViewExchange.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/gateway/ViewExchange.kt
@@ -13,7 +13,8 @@
 /**
  * Exchanges copies of the store's objects between gateways.
  *
- * A gateway that lacks a change which another has, for longer than a watch usually takes, requests that copy.
+ * Hubs send the changes that they read to all members of their domain. A gateway that lacks a change which another has,
+ * for longer than a watch usually takes, requests that copy.
  *
  * Revisions are compared across eras of the store. Gateways of the build before tell no era; theirs is taken to be that
  * of the copy here, unless the store has been seen to return from an older copy and this gateway reads it.
@@ -24,7 +25,7 @@
     private val topology: PeerTopology,
     private val store: EraTrackingStore,
 ) {
-    /** Since when a change of another gateway's copy, made at [revision], is missing here. */
+    /** A change at [revision] that another gateway's copy has; it is missing here since [since]. */
     private class MissingChange(val revision: Revision, val since: MonotonicTime)
 
     private val missingChanges = HashMap<StoreView, MissingChange>()
@@ -120,9 +121,9 @@
         if (peerRevision <= view.asOf) return
         // Only the copy's own progress ends the wait: a gateway that lacks the change as well says nothing about it.
         val missing = missingChanges[view]?.takeIf { it.revision > view.asOf } ?: MissingChange(peerRevision, now)
-        val isAsking = !view.isAvailable || now - missing.since >= EXPECTED_WATCH_DELAY
-        missingChanges[view] = if (isAsking) MissingChange(peerRevision, now) else missing
-        if (isAsking) peers.send(from, PeerMessage.ViewWanted(view.kind.text))
+        val isDue = !view.isAvailable || now - missing.since >= EXPECTED_WATCH_DELAY
+        missingChanges[view] = if (isDue) MissingChange(peerRevision, now) else missing
+        if (isDue) peers.send(from, PeerMessage.ViewWanted(view.kind.text))
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
+++ b/daemon/src/main/kotlin/org/guavapath/daemon/peers/PeerMessage.kt
@@ -148,7 +148,7 @@
     @Serializable
     data class ViewContent(val kind: String, val asOf: Long, val objects: Map<String, SharedObject>) : OfFleet()
 
-    /** Changes of [kind] that the sender, a hub, received from the store after the revision [after]. */
+    /** Changes of [kind] that the sender, a hub, received from the store: all from the revision [after] to [asOf]. */
     @Serializable
     data class ViewChanged(
         val kind: String,
--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/LostWatchTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/LostWatchTest.kt
@@ -17,6 +17,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration
@@ -75,16 +76,45 @@
 }
 
 class LostWatchTest {
-    private class Case(val name: String, val silence: Duration, val delayBetweenWatches: Duration)
+    /** Silences, each after a gap from the one before or from a change that all views have just learned of. */
+    private class Case(
+        val name: String,
+        val delayBetweenWatches: Duration,
+        val silences: List<Silence>,
+    )
+
+    private class Silence(val gap: Duration, val length: Duration)
+
+    private fun silentOnce(name: String, length: Duration, delayBetweenWatches: Duration) =
+        Case(name, delayBetweenWatches, listOf(Silence(ANSWER_TIME, length)))
 
     /** Guards against changes that are learned late once the store is back, as answers to watches were lost (DRAIN). */
     @Test
     fun changesAreLearnedInTimeAfterTheAnswersToAllWatchesWereLost() = runBlocking {
-        val cases = listOf(
-            Case("a moment", 60.milliseconds, 20.milliseconds),
-            Case("between two watches of a list", 400.milliseconds, 300.milliseconds),
-            Case("4.5 s", 4500.milliseconds, 300.milliseconds),
+        assertNoneLate(
+            listOf(
+                silentOnce("a moment", 60.milliseconds, 20.milliseconds),
+                silentOnce("between two watches of a list", 400.milliseconds, 300.milliseconds),
+                silentOnce("4.5 s", 4500.milliseconds, 300.milliseconds),
+            ),
+        )
+    }
+
+    /** Guards against a second silence in which the list after a lost watch is lost too (CONFIG). */
+    @Test
+    fun changesAreLearnedInTimeAfterTwoSilencesAtDrawnMoments() = runBlocking {
+        assertNoneLate(
+            (1..DRAWS).map { seed ->
+                val random = Random(seed)
+                fun drawn(from: Duration, until: Duration) = from + (until - from) * random.nextDouble()
+                val first = Silence(drawn(Duration.ZERO, 100.milliseconds), drawn(20.milliseconds, 2.seconds))
+                val second = Silence(drawn(Duration.ZERO, LONGEST_GAP), drawn(20.milliseconds, 2.seconds))
+                Case("seed $seed", delayBetweenWatches = 20.milliseconds, listOf(first, second))
+            },
         )
+    }
+
+    private suspend fun assertNoneLate(cases: List<Case>) {
         val late = coroutineScope { cases.map { async { it.name to lateViews(it) } }.awaitAll() }
         assertEquals(cases.map { it.name to emptyList<String>() }, late)
     }
@@ -99,10 +129,12 @@
             kinds.forEach { store.write(it, "first") }
             delay(WARM_UP)
             kinds.forEach { store.write(it, "second") }
-            delay(ANSWER_TIME)
-            store.isSilent = true
-            delay(case.silence)
-            store.isSilent = false
+            case.silences.forEach {
+                delay(it.gap)
+                store.isSilent = true
+                delay(it.length)
+                store.isSilent = false
+            }
             delay(CONTACT_TIME)
             kinds.forEach { store.write(it, "third") }
             withTimeoutOrNull(TIME_TO_APPLY) {
@@ -114,6 +146,10 @@
     }
 
     private companion object {
+        const val DRAWS = 30
+
+        /** Longer than a lost watch takes to be given up and the list to follow it. */
+        val LONGEST_GAP = 4.seconds
         val WARM_UP = 1.seconds
 
         /** The views have learned of the change and not yet begun, or just begun, the next watch. */
