ViewExchangeTest: report once more after the time to ask

Beside load a pause of the test's own thread could end the reports before the wait of 0.6 s. The last report now comes after the whole time, so that a wait that is not restarted has ended by then.

--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ViewExchangeTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/ViewExchangeTest.kt
@@ -49,12 +49,13 @@
         val fleet = FleetState(settings.failureDomain, MonotonicTime.now(), isFirstStart = false)
         val exchange = ViewExchange(listOf(view), peers, PeerTopology(settings, links, fleet, log), store)
         val begun = TimeSource.Monotonic.markNow()
-        while (begun.elapsedNow() < TIME_TO_ASK) {
+        do {
+            val isLast = begun.elapsedNow() >= TIME_TO_ASK
             case.others.forEachIndexed { index, revision ->
                 exchange.statusReceived(VmId("vm-$index"), mapOf(kind.text to revision), peerEra = null, true)
             }
             Thread.sleep(REPORT_INTERVAL.inWholeMilliseconds)
-        }
+        } while (!isLast)
         links.close()
         return peers.sent.filter { it.second == PeerMessage.ViewWanted(kind.text) }
             .map { it.first.text.substringAfter('-').toInt() }.toSet()
