--- a/daemon/src/test/kotlin/org/guavapath/daemon/gateway/TroubledHubTest.kt
+++ b/daemon/src/test/kotlin/org/guavapath/daemon/gateway/TroubledHubTest.kt
@@ -51,10 +51,7 @@
 private class HubFleet : AutoCloseable {
     private val sample = SampleFleet("127.0.0.1:1")
     private val shared = MemoryStore(sample)
-    private val seed = SampleSettings(vm = "vm-00", isFirstStart = true)
-    private val settings = listOf(seed) + (1 until VMS).map {
-        SampleSettings(vm = "vm-%02d".format(it), seeds = listOf(seed.peers), isFirstStart = true)
-    }
+    private val settings = linkedSettings(VMS)
     private val silentable = settings.map { SilentableStore(CountingStore(shared)) }
     private val stalling = silentable.map { StallingStore(shared, it) }
     private val gateways = settings.zip(stalling) { sampleSettings, store -> Gateway(sampleSettings.read(), store) }
